--- a/include/kumquathaven/base/time.h
+++ b/include/kumquathaven/base/time.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace kumquathaven {
 
@@ -14,11 +15,15 @@
 /// A reading of a monotonic clock. Only differences within one process have a meaning.
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
-/// Returns the present time. Only duties call it; deciding functions take the result as an
-/// argument.
+/// Returns the present time, on a clock that also counts the time in which the machine was
+/// suspended: a lease must not outlive a suspension unnoticed. Only duties call it; deciding
+/// functions take the result as an argument.
 inline TimePoint monotonicNow()
 {
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::seconds(now.tv_sec)
+                                                          + std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 /// Returns a duration in seconds as a floating-point number.
--- a/include/kumquathaven/catalogue/catalogue.h
+++ b/include/kumquathaven/catalogue/catalogue.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -113,6 +114,26 @@
     bool repeatable = true;
 };
 
+/// A whole description of routes, services and customers that operators handed in as one text, in
+/// the format of the platform that the deployment runs on. The catalogue keeps it as it came.
+struct Declaration
+{
+    /// Zero: there is none. Only a higher one takes its place.
+    std::uint64_t version = 0;
+    std::shared_ptr<const std::string> text;
+};
+
+/// What an engine found by discovery was last ordered to serve.
+struct ServerWeights
+{
+    /// The start of the server that the order went to; a later start is another one.
+    std::string server;
+    std::string model;
+    std::uint64_t version = 0;
+    /// The order is under way: the server starts no request until it ends.
+    bool isLoading = false;
+};
+
 /// One revision of everything that operators declared.
 struct Catalogue
 {
@@ -123,6 +144,13 @@
     std::map<std::string, Key> keys;
     std::map<std::string, Upstream> upstreams;
     std::map<std::string, Route> routes;
+    Declaration declaration;
+    /// The newest version that was named of each model's weights.
+    std::map<std::string, std::uint64_t> weights;
+    /// Links of the control members, "host:port", where no settings list them.
+    std::vector<std::string> controlLinks;
+    /// By server and model, as "server/model". Servers that nothing was ordered of have no entry.
+    std::map<std::string, ServerWeights> serverWeights;
 };
 
 /// Returns how many servers may load weights at the same time: the fewest that any weight store
--- a/include/kumquathaven/catalogue/change.h
+++ b/include/kumquathaven/catalogue/change.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace kumquathaven::catalogue {
 
@@ -78,8 +79,37 @@
     bool leaving = true;
 };
 
+/// Takes the place of a declaration with a lower version. One that is not higher changes nothing,
+/// but other text under the present version is refused.
+struct Declare
+{
+    Declaration declaration;
+};
+
+/// Names a version of a model's weights. One that is not higher than the present one changes
+/// nothing.
+struct NameWeights
+{
+    std::string model;
+    std::uint64_t version = 0;
+};
+
+/// Tells what servers were ordered to serve, and forgets servers that are gone.
+struct NoteServerWeights
+{
+    std::vector<ServerWeights> servers;
+    std::vector<std::string> gone;
+};
+
+/// Tells the links of the present control members.
+struct NoteControlLinks
+{
+    std::vector<std::string> links;
+};
+
 using ChangeBody = std::variant<PutEntries, RemoveEntry, GrantKey, WithdrawKey, DrainInstance,
-                                AnnounceInstance, DepartInstance, HintInstance>;
+                                AnnounceInstance, DepartInstance, HintInstance,
+                                Declare, NameWeights, NoteServerWeights, NoteControlLinks>;
 
 /// One change.
 struct Change
--- a/include/kumquathaven/consensus/configuration.h
+++ b/include/kumquathaven/consensus/configuration.h
@@ -56,6 +56,9 @@
 /// and after a step always have a member in common.
 enum class MembershipStep { AddLearner, Promote, Remove };
 
+/// Returns the name of a step, for example "addLearner".
+std::string_view membershipStepName(MembershipStep step);
+
 /// A step and the member it is about.
 struct MembershipChange
 {
--- a/include/kumquathaven/consensus/group.h
+++ b/include/kumquathaven/consensus/group.h
@@ -123,6 +123,22 @@
                                                    const std::vector<MemberId> &joining,
                                                    TimePoint now);
 
+/// When a group whose instances nobody lists changes its members by itself.
+struct SelfGovernance
+{
+    /// A silent voter is removed only while more voters than this are left.
+    std::size_t minVoters = 3;
+    /// A member that did not answer for this long is taken for gone. It may join again.
+    Duration removalSilence = std::chrono::seconds(15);
+};
+
+/// Returns the next membership step of a group that governs itself: as nextMembershipStep() with
+/// every instance that asks to join wanted, and after that the removal of members that are gone.
+std::optional<MembershipChange> nextSelfGovernedStep(const Replica &replica,
+                                                     const SelfGovernance &governance,
+                                                     const std::vector<MemberId> &joining,
+                                                     TimePoint now);
+
 } // namespace kumquathaven::consensus
 
 #endif // KUMQUATHAVEN_CONSENSUS_GROUP_H
--- a/include/kumquathaven/consensus/replicasettings.h
+++ b/include/kumquathaven/consensus/replicasettings.h
@@ -40,6 +40,9 @@
     /// A learner this many entries behind may be promoted.
     std::uint64_t promotionLag = 16;
     std::size_t maxPendingReads = 4096;
+    /// The group adds and removes members without an operator: a removed member asks to join again,
+    /// and a member passes such a request on to the leader that it knows.
+    bool isSelfGoverned = false;
 };
 
 /// What a replica starts from.
--- a/include/kumquathaven/control/controlrole.h
+++ b/include/kumquathaven/control/controlrole.h
@@ -5,6 +5,7 @@
 #define KUMQUATHAVEN_CONTROL_CONTROLROLE_H
 
 #include "kumquathaven/base/result.h"
+#include "kumquathaven/deployment/dialect.h"
 #include "kumquathaven/settings/settings.h"
 
 #include <cstdint>
@@ -22,7 +23,9 @@
 class ControlRole
 {
 public:
-    explicit ControlRole(const settings::Settings &settings);
+    /// \p dialect is that of the platform that the settings name; null if they name none.
+    explicit ControlRole(const settings::Settings &settings,
+                         const deployment::Dialect *dialect = nullptr);
     ~ControlRole();
     ControlRole(const ControlRole &) = delete;
     ControlRole &operator=(const ControlRole &) = delete;
--- a/include/kumquathaven/settings/settings.h
+++ b/include/kumquathaven/settings/settings.h
@@ -7,6 +7,7 @@
 #include "kumquathaven/base/time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -74,6 +75,47 @@
     Duration maxAge = std::chrono::seconds(60);
 };
 
+/// What a process that runs on a platform is told by it. Control members then find each other
+/// through seeds in place of a list of members, and upstreams are found by discovery.
+struct Platform
+{
+    /// Operators' addresses of instances that were control members when the file was written. Their
+    /// links have the same hosts and the own link's port.
+    std::vector<Address> seeds;
+    /// Whether the whole deployment starts for the first time, with empty disks.
+    bool isFirstStart = false;
+    /// Control members that may be lost at the same time.
+    std::uint32_t lossesTolerated = 1;
+    /// Control: where operators hand in declarations. Entries have none.
+    Address declarations;
+    /// Control: where callers ask for entries. Entries have none.
+    Address directory;
+    /// Where the platform lists the upstreams' servers, the calls that it takes a second from all
+    /// instances together, and how far it may lag.
+    Address serverList;
+    double listCallsPerSecond = 10;
+    Duration listLag = std::chrono::seconds(1);
+    /// A leaving server gets no new request this long after the list says that it leaves.
+    Duration drainTime = std::chrono::seconds(3);
+    /// Time from the signal to stop until the process is killed.
+    Duration stopGrace = std::chrono::seconds(8);
+    /// Time for which an accepted declaration may not be in force yet.
+    Duration inForceTime = std::chrono::seconds(2);
+    /// A new holder of orders waits this long after the one before.
+    Duration orderLease = std::chrono::seconds(3);
+    /// Longest time for which callers may keep the answer that says which entries to use.
+    Duration maxEntriesTtl = std::chrono::seconds(5);
+    /// Sends of one request beyond its first: a ratio of the requests plus a slack, over a window
+    /// and all instances together.
+    double retryRatio = 0.2;
+    std::uint32_t retrySlack = 50;
+    Duration retryWindow = std::chrono::seconds(10);
+    /// Memory that the process may use.
+    std::uint32_t memoryMb = 256;
+    /// Descriptors that the process may have open.
+    std::uint32_t maxDescriptors = 4096;
+};
+
 /// Everything a process learns from its file.
 struct Settings
 {
@@ -115,8 +157,13 @@
     std::string logLevel = "info";
     Bounds bounds;
     FeedRelays feedRelays;
+    /// Set if the process runs on a platform.
+    std::optional<Platform> platform;
 };
 
+/// Returns the address of a seed's link.
+Address linkOfSeed(const Settings &settings, const Address &seed);
+
 /// Returns the addresses at which callers and other instances reach an entry.
 Address reachableCallers(const Settings &settings);
 Address reachableLink(const Settings &settings);
--- a/lib/catalogue/changejson.cpp
+++ b/lib/catalogue/changejson.cpp
@@ -15,9 +15,22 @@
 constexpr std::size_t maxChangeIdBytes = 128;
 
 /// The alternatives of ChangeBody, in their order.
-enum class ChangeKind { Put, Remove, GrantKey, WithdrawKey, Drain, Announce, Depart, Hint };
+enum class ChangeKind {
+    Put,
+    Remove,
+    GrantKey,
+    WithdrawKey,
+    Drain,
+    Announce,
+    Depart,
+    Hint,
+    Declare,
+    NameWeights,
+    NoteServerWeights,
+    NoteControlLinks,
+};
 
-constexpr std::array<EnumName<ChangeKind>, 8> changeKindNames{{
+constexpr std::array<EnumName<ChangeKind>, 12> changeKindNames{{
     {ChangeKind::Put, "put"},
     {ChangeKind::Remove, "remove"},
     {ChangeKind::GrantKey, "grantKey"},
@@ -26,6 +39,10 @@
     {ChangeKind::Announce, "announce"},
     {ChangeKind::Depart, "depart"},
     {ChangeKind::Hint, "hint"},
+    {ChangeKind::Declare, "declare"},
+    {ChangeKind::NameWeights, "nameWeights"},
+    {ChangeKind::NoteServerWeights, "noteServerWeights"},
+    {ChangeKind::NoteControlLinks, "noteControlLinks"},
 }};
 
 struct BodyWriter
@@ -71,6 +88,21 @@
         value["incarnation"] = body.incarnation;
         value["leaving"] = body.leaving;
     }
+    void operator()(const Declare &body) const
+    {
+        value["declaration"] = toJson(body.declaration);
+    }
+    void operator()(const NameWeights &body) const
+    {
+        value["model"] = body.model;
+        value["version"] = body.version;
+    }
+    void operator()(const NoteServerWeights &body) const
+    {
+        value["servers"] = toJson(body.servers);
+        value["gone"] = body.gone;
+    }
+    void operator()(const NoteControlLinks &body) const { value["links"] = body.links; }
 };
 
 Result<ChangeBody> readPut(Fields &fields)
@@ -147,6 +179,40 @@
     return body;
 }
 
+Result<ChangeBody> readDeclare(Fields &fields)
+{
+    Declare body;
+    if (const json *it = fields.find("declaration", Presence::Required)) {
+        BOOST_LEAF_ASSIGN(body.declaration, declarationFromJson(*it));
+    }
+    return ChangeBody(body);
+}
+
+ChangeBody readNameWeights(Fields &fields)
+{
+    NameWeights body;
+    fields.text("model", body.model, Presence::Required);
+    fields.number("version", body.version, std::uint64_t{1});
+    return body;
+}
+
+Result<ChangeBody> readNoteServerWeights(Fields &fields)
+{
+    NoteServerWeights body;
+    if (const json *it = fields.find("servers", Presence::Required)) {
+        BOOST_LEAF_ASSIGN(body.servers, serverWeightsFromJson(*it));
+    }
+    fields.texts("gone", body.gone);
+    return ChangeBody(body);
+}
+
+ChangeBody readNoteControlLinks(Fields &fields)
+{
+    NoteControlLinks body;
+    fields.texts("links", body.links);
+    return body;
+}
+
 Result<ChangeBody> readBody(ChangeKind kind, Fields &fields)
 {
     switch (kind) {
@@ -166,6 +232,14 @@
         return readDepart(fields);
     case ChangeKind::Hint:
         return readHint(fields);
+    case ChangeKind::Declare:
+        return readDeclare(fields);
+    case ChangeKind::NameWeights:
+        return readNameWeights(fields);
+    case ChangeKind::NoteServerWeights:
+        return readNoteServerWeights(fields);
+    case ChangeKind::NoteControlLinks:
+        return readNoteControlLinks(fields);
     }
     return fail(
         {ErrorCode::Internal, "catalogue.read", {}, "unknown kind of change", Outcome::NotRun, {}});
--- a/lib/catalogue/json.cpp
+++ b/lib/catalogue/json.cpp
@@ -49,15 +49,49 @@
     return entries;
 }
 
+std::vector<ServerWeights> serversOf(const Catalogue &catalogue)
+{
+    std::vector<ServerWeights> servers;
+    for (const auto &it : catalogue.serverWeights)
+        servers.push_back(it.second);
+    return servers;
+}
+
+void readWeights(Fields &fields, Catalogue &catalogue)
+{
+    const nlohmann::json *weights = fields.find("weights", Presence::Optional);
+    if (!weights)
+        return;
+    if (!weights->is_object() || weights->size() > maxEntriesOfKind) {
+        fields.reject("weights", "must map models to versions");
+        return;
+    }
+    for (const auto &[model, version] : weights->items()) {
+        if (version.is_number_unsigned())
+            catalogue.weights[model] = version.get<std::uint64_t>();
+        else
+            fields.reject("weights", "must map models to versions");
+    }
+}
+
 } // namespace
 
 nlohmann::json toJson(const Catalogue &catalogue)
 {
-    return {{"revision", catalogue.revision},
-            {"customers", listOf(catalogue.customers)},
-            {"keys", listOf(catalogue.keys)},
-            {"upstreams", listOf(catalogue.upstreams)},
-            {"routes", listOf(catalogue.routes)}};
+    nlohmann::json value{{"revision", catalogue.revision},
+                         {"customers", listOf(catalogue.customers)},
+                         {"keys", listOf(catalogue.keys)},
+                         {"upstreams", listOf(catalogue.upstreams)},
+                         {"routes", listOf(catalogue.routes)}};
+    if (catalogue.declaration.text)
+        value["declaration"] = toJson(catalogue.declaration);
+    if (!catalogue.weights.empty())
+        value["weights"] = catalogue.weights;
+    if (!catalogue.controlLinks.empty())
+        value["controlLinks"] = catalogue.controlLinks;
+    if (!catalogue.serverWeights.empty())
+        value["serverWeights"] = toJson(serversOf(catalogue));
+    return value;
 }
 
 Result<Catalogue> catalogueFromJson(const nlohmann::json &value)
@@ -71,6 +105,16 @@
     BOOST_LEAF_ASSIGN(catalogue.upstreams,
                       readList<Upstream>(fields, "upstreams", upstreamFromJson));
     BOOST_LEAF_ASSIGN(catalogue.routes, readList<Route>(fields, "routes", routeFromJson));
+    if (const nlohmann::json *it = fields.find("declaration", Presence::Optional)) {
+        BOOST_LEAF_ASSIGN(catalogue.declaration, declarationFromJson(*it));
+    }
+    readWeights(fields, catalogue);
+    fields.texts("controlLinks", catalogue.controlLinks);
+    if (const nlohmann::json *it = fields.find("serverWeights", Presence::Optional)) {
+        BOOST_LEAF_AUTO(servers, serverWeightsFromJson(*it));
+        for (const ServerWeights &server : servers)
+            catalogue.serverWeights[server.server + "/" + server.model] = server;
+    }
     BOOST_LEAF_CHECK(fields.finish());
     return catalogue;
 }
--- a/lib/catalogue/state.cpp
+++ b/lib/catalogue/state.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace kumquathaven::catalogue {
@@ -144,6 +145,54 @@
         return {};
     }
 
+    Result<void> operator()(const Declare &body)
+    {
+        const Declaration &present = m_state.catalogue.declaration;
+        const bool isSameVersion = body.declaration.version == present.version;
+        if (isSameVersion && present.text && *body.declaration.text != *present.text)
+            return fail(refusal(ErrorCode::Conflict,
+                                "another declaration has version "
+                                    + std::to_string(present.version)));
+        if (body.declaration.version <= present.version)
+            return {};
+        Catalogue next = m_state.catalogue;
+        next.declaration = body.declaration;
+        return accept(std::move(next));
+    }
+
+    Result<void> operator()(const NameWeights &body)
+    {
+        std::uint64_t &present = m_state.catalogue.weights[body.model];
+        if (body.version <= present)
+            return {};
+        present = body.version;
+        ++m_state.catalogue.revision;
+        return {};
+    }
+
+    Result<void> operator()(const NoteServerWeights &body)
+    {
+        auto &servers = m_state.catalogue.serverWeights;
+        for (const ServerWeights &it : body.servers)
+            servers[it.server + "/" + it.model] = it;
+        for (auto it = servers.begin(); it != servers.end();) {
+            const bool isGone = std::find(body.gone.begin(), body.gone.end(), it->second.server)
+                != body.gone.end();
+            it = isGone ? servers.erase(it) : std::next(it);
+        }
+        ++m_state.catalogue.revision;
+        return {};
+    }
+
+    Result<void> operator()(const NoteControlLinks &body)
+    {
+        if (m_state.catalogue.controlLinks == body.links)
+            return {};
+        m_state.catalogue.controlLinks = body.links;
+        ++m_state.catalogue.revision;
+        return {};
+    }
+
 private:
     /// Counts a departure. The process may act until its end is proved.
     void depart(const Instance &instance)
--- a/lib/consensus/membership.cpp
+++ b/lib/consensus/membership.cpp
@@ -3,13 +3,23 @@
 #include "kumquathaven/consensus/group.h"
 #include "kumquathaven/consensus/replica.h"
 
+#include "kumquathaven/base/enumnames.h"
+
 #include <algorithm>
+#include <array>
+#include <set>
 #include <tuple>
 
 namespace kumquathaven::consensus {
 
 namespace {
 
+constexpr std::array<EnumName<MembershipStep>, 3> stepNames{{
+    {MembershipStep::AddLearner, "addLearner"},
+    {MembershipStep::Promote, "promote"},
+    {MembershipStep::Remove, "remove"},
+}};
+
 boost::leaf::error_id failUnavailable(const MemberId &member, const char *message)
 {
     return fail({ErrorCode::Unavailable,
@@ -27,10 +37,18 @@
 
 } // namespace
 
+std::string_view membershipStepName(MembershipStep step)
+{
+    return nameOf(stepNames, step);
+}
+
 void Replica::askToJoin(TimePoint now)
 {
     m_electionAt = now + m_settings.electionTimeout;
-    for (const std::string &it : m_instances) {
+    std::set<std::string> asked(m_instances.begin(), m_instances.end());
+    for (const MemberId &it : m_configuration.voters)
+        asked.insert(it.instance);
+    for (const std::string &it : asked) {
         if (it != m_self.instance)
             send({it, 0}, m_hardState.term, JoinRequest{});
     }
@@ -39,8 +57,13 @@
 void Replica::handle(const Message &message, const JoinRequest &, TimePoint)
 {
     const bool isKnown = m_configuration.contains(message.from) || message.from.identity == 0;
-    if (m_role == Role::Leader && !isKnown)
+    if (isKnown)
+        return;
+    if (m_role == Role::Leader)
         m_effects.joining.push_back(message.from);
+    else if (m_settings.isSelfGoverned && m_leader && m_leader->instance != message.from.instance)
+        m_effects.messages.push_back(
+            {m_group, message.from, {m_leader->instance, 0}, message.term, JoinRequest{}});
 }
 
 Result<EntryId> Replica::changeMembers(const MembershipChange &change, TimePoint now)
@@ -141,4 +164,29 @@
     return std::nullopt;
 }
 
+std::optional<MembershipChange> nextSelfGovernedStep(const Replica &replica,
+                                                     const SelfGovernance &governance,
+                                                     const std::vector<MemberId> &joining,
+                                                     TimePoint now)
+{
+    const Configuration &configuration = replica.configuration();
+    std::vector<std::string> wanted;
+    for (const auto *list : {&configuration.voters, &configuration.learners, &joining}) {
+        for (const MemberId &it : *list)
+            wanted.push_back(it.instance);
+    }
+    if (const auto step = nextMembershipStep(replica, wanted, joining, now))
+        return step;
+    const std::vector<MemberProgress> progress = replica.progress(now);
+    const auto isGone = [&](const MemberProgress &it) {
+        return it.member != replica.self() && it.silence > governance.removalSilence;
+    };
+    for (const MemberProgress &it : progress) {
+        const bool mayGo = !it.isVoter || configuration.voters.size() > governance.minVoters;
+        if (isGone(it) && mayGo)
+            return MembershipChange{MembershipStep::Remove, it.member};
+    }
+    return std::nullopt;
+}
+
 } // namespace kumquathaven::consensus
--- a/lib/consensus/replica.cpp
+++ b/lib/consensus/replica.cpp
@@ -78,9 +78,9 @@
             sendHeartbeats(now);
         return;
     }
-    if (now < m_electionAt || m_removed)
+    if (now < m_electionAt || (m_removed && !m_settings.isSelfGoverned))
         return;
-    if (m_configuration.isVoter(m_self))
+    if (m_configuration.isVoter(m_self) && !m_removed)
         startElection(true, false, now);
     else
         askToJoin(now);
--- a/lib/control/controlrole.cpp
+++ b/lib/control/controlrole.cpp
@@ -1,6 +1,7 @@
 #include "kumquathaven/control/controlrole.h"
 
 #include "cataloguemachine.h"
+#include "declarations.h"
 #include "feedduty.h"
 #include "ledgerduty.h"
 #include "ledgerrelay.h"
@@ -9,6 +10,7 @@
 #include "operators.h"
 #include "orderduty.h"
 #include "platformwatch.h"
+#include "weightsduty.h"
 
 #include "kumquathaven/ledger/machine.h"
 #include "kumquathaven/runtime/httpserver.h"
@@ -18,6 +20,7 @@
 #include "kumquathaven/wire/hub.h"
 
 #include <cstdlib>
+#include <mutex>
 #include <random>
 #include <thread>
 
@@ -37,6 +40,19 @@
     return (static_cast<std::uint64_t>(device()) << 32U) | device() | 1U;
 }
 
+/// On a platform nobody lists the members: the first seed founds the group at the first start, and
+/// whoever asks is made a member.
+void governItself(LogDutySettings &log, const settings::Settings &settings)
+{
+    const settings::Platform &platform = *settings.platform;
+    for (const settings::Address &it : platform.seeds)
+        log.group.instances.push_back(settings::toString(settings::linkOfSeed(settings, it)));
+    log.isFounder = platform.isFirstStart && log.group.instances.front() == settings.instance;
+    log.group.replica.isSelfGoverned = true;
+    log.governance.emplace();
+    log.governance->minVoters = 2 * platform.lossesTolerated + 1;
+}
+
 wire::HubOptions hubOptions(const settings::Settings &settings)
 {
     wire::HubOptions options;
@@ -49,10 +65,12 @@
 
 struct ControlRole::Impl
 {
-    explicit Impl(const settings::Settings &s);
+    Impl(const settings::Settings &s, const deployment::Dialect *d);
 
     LogDutySettings logSettings(std::uint32_t group) const;
     LogLinks logLinks(std::uint32_t group);
+    wire::LinkId linkTo(const std::string &instance);
+    bool isMember(const std::string &instance);
     void sendToMember(const std::string &instance, const MemberMessage &message);
     void receiveFromMember(const wire::Peer &peer, const wire::Frame &frame);
     void dispatch(const std::string &member, const MemberMessage &message);
@@ -60,11 +78,14 @@
     void addDuties();
     void supervise();
     Result<void> start();
+    Result<void> startPlatformServers(runtime::ServerBounds bounds);
     void stop();
 
     const settings::Settings settings;
+    /// Null if the process runs on no platform.
+    const deployment::Dialect *dialect;
     wire::Hub hub;
-    /// Written before the hub starts.
+    std::mutex linksMutex;
     std::map<std::string, wire::LinkId> links;
     std::optional<storage::DataFolder> folder;
     CatalogueMachine machine;
@@ -76,6 +97,10 @@
     telemetry::Metrics metrics;
     std::unique_ptr<OperatorsContext> context;
     std::unique_ptr<runtime::HttpServer> operators;
+    std::unique_ptr<DeclarationsContext> platformContext;
+    std::unique_ptr<runtime::HttpServer> declarations;
+    std::unique_ptr<runtime::HttpServer> directory;
+    std::unique_ptr<WeightsDuty> weights;
     runtime::Supervisor feeding;
     runtime::Supervisor ordering;
     runtime::Supervisor root;
@@ -83,8 +108,9 @@
     std::thread thread;
 };
 
-ControlRole::Impl::Impl(const settings::Settings &s)
+ControlRole::Impl::Impl(const settings::Settings &s, const deployment::Dialect *d)
     : settings(s)
+    , dialect(d)
     , hub(hubOptions(s))
     , machine(
           [this](const feed::ChangeAt &change) {
@@ -105,8 +131,10 @@
     logs.push_back(std::make_unique<LogDuty>(
         logSettings(ledgerGroup), ledger::makeStateMachine(std::make_shared<ledger::State>()),
         logLinks(ledgerGroup)));
-    feed =
-        std::make_unique<FeedDuty>(hub, *logs.front(), machine, send, settings.platformList.maxAge);
+    FeedSettings feedSettings;
+    feedSettings.maxListAge = settings.platformList.maxAge;
+    feedSettings.tellsMembers = settings.platform.has_value();
+    feed = std::make_unique<FeedDuty>(hub, *logs.front(), machine, send, feedSettings);
     relay = std::make_unique<LedgerRelay>(hub, *logs.back(), send, randomIdentity());
     ledgerDuty = std::make_unique<LedgerDuty>(*logs.back(), machine, *feed, randomIdentity());
     orderDuty =
@@ -129,13 +157,26 @@
     feeding.add("ledger", [this](const runtime::StopSignal &stop) {
         ledgerDuty->run(stop);
     });
-    ordering.add("orders", [this](const runtime::StopSignal &stop) {
-        orderDuty->run(stop);
-    });
-    for (std::size_t share = 0; share < observerShares; ++share)
+    if (!dialect) {
+        ordering.add("orders", [this](const runtime::StopSignal &stop) {
+            orderDuty->run(stop);
+        });
+    }
+    // On a platform the servers are not in the catalogue, and the weights duty orders them.
+    for (std::size_t share = 0; !dialect && share < observerShares; ++share)
         ordering.add("observer", [this, share](const runtime::StopSignal &stop) {
             orderDuty->observe(share, stop);
         });
+    if (dialect) {
+        weights = std::make_unique<WeightsDuty>(settings, *dialect, *logs.front(), machine);
+        ordering.add("weights", [this](const runtime::StopSignal &stop) {
+            weights->run(stop);
+        });
+        for (std::size_t n = 0; n < weightsCallers; ++n)
+            ordering.add("weightsCalls", [this](const runtime::StopSignal &stop) {
+                weights->call(stop);
+            });
+    }
     root.add("ordering", [this](const runtime::StopSignal &stop) {
         ordering.run(stop);
     });
@@ -172,9 +213,31 @@
     std::random_device device;
     log.group.seed = device();
     log.isFounder = !settings.members.empty() && settings.members.front().name == settings.instance;
+    if (settings.platform)
+        governItself(log, settings);
     return log;
 }
 
+/// Returns the link to another member, and makes it if it is new.
+wire::LinkId ControlRole::Impl::linkTo(const std::string &instance)
+{
+    const std::lock_guard<std::mutex> lock(linksMutex);
+    const auto it = links.find(instance);
+    if (it != links.end())
+        return it->second;
+    // On a platform a member is named by the address of its link.
+    const settings::Address address = settings::parseAddress(instance);
+    if (!settings.platform || address.port == 0 || instance == settings.instance)
+        return 0;
+    return links[instance] = hub.connect(address);
+}
+
+/// Returns whether a peer is a control member and not an entry.
+bool ControlRole::Impl::isMember(const std::string &instance)
+{
+    return linkTo(instance) != 0;
+}
+
 LogLinks ControlRole::Impl::logLinks(std::uint32_t group)
 {
     LogLinks result;
@@ -189,13 +252,13 @@
 
 void ControlRole::Impl::sendToMember(const std::string &instance, const MemberMessage &message)
 {
-    const auto it = links.find(instance);
-    if (it == links.end())
+    const wire::LinkId link = linkTo(instance);
+    if (link == 0)
         return;
     // Every protocol between members repeats what is lost.
     orElse(
         [&] {
-            return hub.send(it->second, toFrame(message));
+            return hub.send(link, toFrame(message));
         },
         [](const Error &) {});
 }
@@ -224,7 +287,7 @@
 
 void ControlRole::Impl::receiveFromMember(const wire::Peer &peer, const wire::Frame &frame)
 {
-    if (links.count(peer.name) == 0)
+    if (!isMember(peer.name))
         return;
     orElse(
         [&]() -> Result<void> {
@@ -247,8 +310,10 @@
             [&]() -> Result<void> {
                 BOOST_LEAF_AUTO(decoded, consensus::decodeMessage(bytes->bytes, {}));
                 LogDuty *log = logOf(decoded.group);
-                // A member speaks only for itself.
-                if (log && decoded.from.instance == member)
+                // A member speaks only for itself, but passes on who wants to join.
+                const bool isPassedOn = settings.platform
+                    && std::holds_alternative<consensus::JoinRequest>(decoded.body);
+                if (log && (decoded.from.instance == member || isPassedOn))
                     log->receive(std::move(decoded));
                 return {};
             },
@@ -281,6 +346,10 @@
         if (it.name != settings.instance)
             links[it.name] = hub.connect(it.link);
     }
+    if (settings.platform) {
+        for (const settings::Address &it : settings.platform->seeds)
+            linkTo(settings::toString(settings::linkOfSeed(settings, it)));
+    }
     BOOST_LEAF_CHECK(hub.start(settings.link));
     thread = std::thread([this] {
         supervise();
@@ -299,6 +368,8 @@
             handleOperator(*context, exchange);
         });
     BOOST_LEAF_CHECK(operators->start(settings.operators));
+    if (dialect)
+        BOOST_LEAF_CHECK(startPlatformServers(bounds));
     telemetry::logLine(telemetry::LogLevel::Info, "control", "started",
                        {{"operators", settings::toString(settings.operators)},
                         {"link", settings::toString(settings.link)},
@@ -306,8 +377,30 @@
     return {};
 }
 
+Result<void> ControlRole::Impl::startPlatformServers(runtime::ServerBounds bounds)
+{
+    platformContext = std::make_unique<DeclarationsContext>(
+        DeclarationsContext{settings, *dialect, machine, *logs.front()});
+    declarations =
+        std::make_unique<runtime::HttpServer>(bounds, [this](runtime::HttpExchange &exchange) {
+            handleDeclarations(*platformContext, exchange);
+        });
+    BOOST_LEAF_CHECK(declarations->start(settings.platform->declarations));
+    if (settings.platform->directory.port == 0)
+        return {};
+    directory =
+        std::make_unique<runtime::HttpServer>(bounds, [this](runtime::HttpExchange &exchange) {
+            handleDirectory(*platformContext, exchange);
+        });
+    return directory->start(settings.platform->directory);
+}
+
 void ControlRole::Impl::stop()
 {
+    for (const auto *it : {&declarations, &directory}) {
+        if (*it)
+            (*it)->stop(operatorsDrain);
+    }
     if (operators)
         operators->stop(operatorsDrain);
     stopSignal.request();
@@ -316,8 +409,8 @@
     hub.stop();
 }
 
-ControlRole::ControlRole(const settings::Settings &settings)
-    : m_impl(std::make_unique<Impl>(settings))
+ControlRole::ControlRole(const settings::Settings &settings, const deployment::Dialect *dialect)
+    : m_impl(std::make_unique<Impl>(settings, dialect))
 { }
 
 ControlRole::~ControlRole()
--- a/lib/control/feedduty.cpp
+++ b/lib/control/feedduty.cpp
@@ -12,8 +12,6 @@
 constexpr Duration tickInterval = std::chrono::milliseconds(50);
 constexpr Duration proofInterval = std::chrono::milliseconds(250);
 constexpr Duration deathInterval = std::chrono::milliseconds(500);
-/// An instance that nobody heard for this long is declared dead.
-constexpr Duration instanceLease = std::chrono::seconds(8);
 /// After a longer pause of this process, what it heard before says nothing.
 constexpr Duration longPause = std::chrono::seconds(2);
 
@@ -48,12 +46,14 @@
 } // namespace
 
 FeedDuty::FeedDuty(wire::Hub &hub, LogDuty &log, const CatalogueMachine &machine, SendToMember send,
-                   Duration maxListAge)
+                   FeedSettings settings)
     : m_hub(hub)
     , m_log(log)
     , m_machine(machine)
     , m_send(std::move(send))
-    , m_maxListAge(maxListAge)
+    , m_maxListAge(settings.maxListAge)
+    , m_tellsMembers(settings.tellsMembers)
+    , m_instanceLease(settings.instanceLease)
     , m_ring(ringCapacity)
 { }
 
@@ -274,6 +274,7 @@
             m_nextDeaths = now + deathInterval;
             declareDead(status, now);
             hint(status, now);
+            noteControlLinks(status);
         }
     }
     m_departures.observe(m_machine.published().instances->departures, now);
@@ -306,7 +307,7 @@
 {
     const TimePoint since = std::max(status.leaderSince, m_collectingSince);
     const PublishedState state = m_machine.published();
-    for (const auto &it : m_liveness.expired(*state.instances, since, instanceLease, now)) {
+    for (const auto &it : m_liveness.expired(*state.instances, since, m_instanceLease, now)) {
         proposeOrForward({{}, {}, it});
         const std::lock_guard<std::mutex> lock(m_mutex);
         ++m_counts.declaredDead;
@@ -324,6 +325,18 @@
         proposeOrForward({{}, {}, it});
 }
 
+/// Where no settings list the members, entries learn them from the control state.
+void FeedDuty::noteControlLinks(const LogStatus &status)
+{
+    if (!m_tellsMembers)
+        return;
+    std::vector<std::string> links;
+    for (const consensus::MemberId &it : status.configuration.voters)
+        links.push_back(it.instance);
+    if (links != m_machine.published().catalogue->controlLinks)
+        proposeOrForward({{}, {}, catalogue::NoteControlLinks{links}});
+}
+
 void FeedDuty::proposeOrForward(const catalogue::Change &change)
 {
     const std::string bytes = catalogue::encodeChange(change);
--- a/lib/control/feedduty.h
+++ b/lib/control/feedduty.h
@@ -37,6 +37,17 @@
     std::optional<Duration> proofAge;
 };
 
+/// What a feed duty is set up with.
+struct FeedSettings
+{
+    /// How long ago a list of the platform may have been written.
+    Duration maxListAge = std::chrono::seconds(60);
+    /// Entries learn the control members from the control state.
+    bool tellsMembers = false;
+    /// An instance that nobody heard for this long is declared dead.
+    Duration instanceLease = std::chrono::seconds(8);
+};
+
 /// Answers entry instances and, through the leader, learns how fresh this member is.
 class FeedDuty
 {
@@ -44,9 +55,8 @@
     /// Sends a message to another member by its instance name.
     using SendToMember = std::function<void(const std::string &, const MemberMessage &)>;
 
-    /// \p maxListAge is how long ago a list of the platform may have been written.
     FeedDuty(wire::Hub &hub, LogDuty &log, const CatalogueMachine &machine, SendToMember send,
-             Duration maxListAge);
+             FeedSettings settings);
     FeedDuty(const FeedDuty &) = delete;
     FeedDuty &operator=(const FeedDuty &) = delete;
 
@@ -98,6 +108,7 @@
     void prove(TimePoint now);
     void declareDead(const LogStatus &status, TimePoint now);
     void hint(const LogStatus &status, TimePoint now);
+    void noteControlLinks(const LogStatus &status);
     void proposeOrForward(const catalogue::Change &change);
     void deliver(const std::vector<feed::Delivery> &deliveries);
 
@@ -106,6 +117,8 @@
     const CatalogueMachine &m_machine;
     SendToMember m_send;
     const Duration m_maxListAge;
+    const bool m_tellsMembers;
+    const Duration m_instanceLease;
     BoundedRing<Event> m_ring;
     std::atomic<bool> m_mustStartAgain{true};
     std::atomic<std::uint64_t> m_framesDropped{0};
--- a/lib/control/logduty.h
+++ b/lib/control/logduty.h
@@ -60,6 +60,8 @@
     consensus::GroupSettings group;
     /// Whether this instance founds the group once all others said that they belong to none.
     bool isFounder = false;
+    /// Set if the group changes its members by itself, without an operator.
+    std::optional<consensus::SelfGovernance> governance;
 };
 
 /// Owns a group, its storage and its state machine.
@@ -150,6 +152,8 @@
     void handle(Remove &event, TimePoint now);
     void found(TimePoint now);
     void changeMembers(TimePoint now);
+    void governMembers(TimePoint now);
+    bool takeStep(const consensus::MembershipChange &step, TimePoint now);
 
     LogDutySettings m_settings;
     StateMachine m_machine;
--- a/lib/control/logmembership.cpp
+++ b/lib/control/logmembership.cpp
@@ -3,6 +3,10 @@
 #include "commanderrors.h"
 #include "logduty.h"
 
+#include "kumquathaven/telemetry/log.h"
+
+#include <iterator>
+
 namespace kumquathaven::control {
 
 namespace {
@@ -91,6 +95,10 @@
     const consensus::Replica &replica = m_group->replica();
     if (replica.standing().role != consensus::Role::Leader)
         return;
+    if (m_settings.governance) {
+        governMembers(now);
+        return;
+    }
     std::set<std::string> present;
     const consensus::Configuration &configuration = replica.configuration();
     for (const auto *list : {&configuration.voters, &configuration.learners}) {
@@ -106,15 +114,47 @@
     }
     const auto step =
         consensus::nextMembershipStep(replica, m_settings.group.instances, joining, now);
+    if (step)
+        takeStep(*step, now);
+}
+
+/// Members of a group that governs itself are those that ask to join and answer.
+void LogDuty::governMembers(TimePoint now)
+{
+    const consensus::Replica &replica = m_group->replica();
+    std::vector<consensus::MemberId> joining;
+    for (auto it = m_joining.begin(); it != m_joining.end();) {
+        const bool isIn = replica.configuration().contains(it->second);
+        if (!isIn)
+            joining.push_back(it->second);
+        it = isIn ? m_joining.erase(it) : std::next(it);
+    }
+    const auto step =
+        consensus::nextSelfGovernedStep(replica, *m_settings.governance, joining, now);
     if (!step)
         return;
-    orElse(
-        [&]() -> Result<void> {
-            BOOST_LEAF_CHECK(m_group->changeMembers(*step, now));
-            return {};
+    if (takeStep(*step, now))
+        telemetry::logLine(telemetry::LogLevel::Info, "log", "membership step",
+                           {{"group", std::to_string(m_settings.group.group)},
+                            {"step", std::string(consensus::membershipStepName(step->step))},
+                            {"member", step->member.instance},
+                            {"identity", std::to_string(step->member.identity)},
+                            {"voters", std::to_string(replica.configuration().voters.size())}});
+}
+
+bool LogDuty::takeStep(const consensus::MembershipChange &step, TimePoint now)
+{
+    return orElse(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_CHECK(m_group->changeMembers(step, now));
+            // A request is good for one step; a member that is still there asks again.
+            if (step.step == consensus::MembershipStep::AddLearner)
+                m_joining.erase(step.member.instance);
+            return true;
         },
         [](const Error &) {
             // An earlier step is still under way; the next pass tries again.
+            return false;
         });
 }
 
--- a/lib/control/operators.cpp
+++ b/lib/control/operators.cpp
@@ -1,5 +1,6 @@
 #include "operators.h"
 
+#include "awaitcommand.h"
 #include "orderview.h"
 
 #include "kumquathaven/catalogue/json.h"
@@ -7,8 +8,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <future>
-
 namespace kumquathaven::control {
 
 namespace {
@@ -48,42 +47,13 @@
     return error;
 }
 
-/// Starts something that ends in a CommandDone, and waits for it.
-template <typename Start>
-Result<std::string> await(Start start)
-{
-    const auto promise = std::make_shared<std::promise<CommandResult>>();
-    std::future<CommandResult> future = promise->get_future();
-    const bool isStarted = start([promise](const CommandResult &result) {
-        promise->set_value(result);
-    });
-    if (!isStarted)
-        return fail({ErrorCode::Overloaded,
-                     "control.log",
-                     {},
-                     "too many commands wait",
-                     Outcome::NotRun,
-                     std::chrono::seconds(1)});
-    if (future.wait_for(maxWait) != std::future_status::ready)
-        return fail({ErrorCode::Timeout,
-                     "control.log",
-                     {},
-                     "no answer from the log",
-                     Outcome::Unknown,
-                     {}});
-    CommandResult result = future.get();
-    if (result.error)
-        return fail(*result.error);
-    return std::move(result.answer);
-}
-
 /// Confirms that this member leads and that its state has everything accepted so far, unless the
 /// query asks for the state as this member has it.
 Result<void> confirmNewest(const OperatorsContext &context, const runtime::HttpRequest &request)
 {
     if (request.query == "local")
         return {};
-    BOOST_LEAF_CHECK(await([&](const CommandDone &done) {
+    BOOST_LEAF_CHECK(await(maxWait, [&](const CommandDone &done) {
         return context.logs.front()->query({}, done);
     }));
     return {};
@@ -180,7 +150,7 @@
                      "change: field \"changeId\" is missing",
                      Outcome::NotRun,
                      {}});
-    BOOST_LEAF_AUTO(bytes, await([&](const CommandDone &done) {
+    BOOST_LEAF_AUTO(bytes, await(maxWait, [&](const CommandDone &done) {
                         return context.logs.front()->command(catalogue::encodeChange(change), done);
                     }));
     BOOST_LEAF_AUTO(value, wire::fromCbor(bytes, "operators.change", {}));
@@ -215,7 +185,7 @@
                      Outcome::NotRun,
                      {}});
     LogDuty *log = context.logs[body["group"].get<std::size_t>()];
-    BOOST_LEAF_CHECK(await([&](const CommandDone &done) {
+    BOOST_LEAF_CHECK(await(maxWait, [&](const CommandDone &done) {
         return isAdmission ? log->admit(instance, done) : log->remove(instance, done);
     }));
     return jsonReply(200, {{"accepted", true}});
--- /dev/null
+++ b/lib/control/weightsduty.cpp
@@ -0,0 +1,191 @@
+#include "weightsduty.h"
+
+#include "kumquathaven/catalogue/json.h"
+#include "kumquathaven/runtime/httpclient.h"
+#include "kumquathaven/telemetry/log.h"
+
+namespace kumquathaven::control {
+
+namespace {
+
+constexpr std::size_t ringCapacity = 4096;
+constexpr Duration stepInterval = std::chrono::milliseconds(50);
+constexpr Duration idleInterval = std::chrono::milliseconds(250);
+constexpr Duration listInterval = std::chrono::seconds(1);
+constexpr Duration callerPoll = std::chrono::seconds(1);
+/// A proof of leadership that is older does not allow orders.
+constexpr Duration maxProofAge = std::chrono::milliseconds(500);
+constexpr std::size_t maxListPages = 400;
+constexpr std::size_t maxAnswerBytes = std::size_t{4} * 1024 * 1024;
+
+runtime::CallTimeouts callTimeouts()
+{
+    runtime::CallTimeouts timeouts;
+    timeouts.connect = std::chrono::milliseconds(300);
+    timeouts.silence = std::chrono::milliseconds(700);
+    return timeouts;
+}
+
+} // namespace
+
+WeightsDuty::WeightsDuty(const settings::Settings &settings, const deployment::Dialect &dialect,
+                         LogDuty &log, const CatalogueMachine &machine)
+    : m_settings(settings)
+    , m_dialect(dialect)
+    , m_log(log)
+    , m_machine(machine)
+    , m_calls(ringCapacity)
+    , m_answers(ringCapacity)
+{ }
+
+/// The former holder's orders may still be under way until its lease has ended.
+bool WeightsDuty::mayOrder(TimePoint now) const
+{
+    const LogStatus status = m_log.status();
+    return status.standing.role == consensus::Role::Leader
+        && now - status.leaderSince >= m_settings.platform->orderLease
+        && now - status.proof.at <= maxProofAge;
+}
+
+void WeightsDuty::run(const runtime::StopSignal &stop)
+{
+    while (!stop.requested()) {
+        const TimePoint now = monotonicNow();
+        const std::shared_ptr<const catalogue::Catalogue> catalogue =
+            m_machine.published().catalogue;
+        if (catalogue->weights.empty() || !mayOrder(now)) {
+            m_rollout = {};
+            m_servers.clear();
+            m_nextList = {};
+            stop.waitFor(idleInterval);
+            continue;
+        }
+        m_term = m_log.status().standing.term;
+        readList(now);
+        const deployment::RolloutStep step =
+            nextStep(m_rollout, m_servers, *catalogue, deployment::RolloutTimes(), now);
+        record(step);
+        for (const deployment::RolloutCall &it : step.calls)
+            m_calls.tryPush({it, m_term});
+        std::optional<deployment::RolloutAnswer> answer = m_answers.pop(stepInterval);
+        while (answer) {
+            take(m_rollout, *answer, deployment::RolloutTimes(), monotonicNow());
+            answer = m_answers.pop(Duration(0));
+        }
+    }
+    m_calls.close();
+}
+
+/// Takes a list that was read whole; a failed reading leaves what was known before.
+void WeightsDuty::readList(TimePoint now)
+{
+    if (now < m_nextList)
+        return;
+    m_nextList = now + listInterval;
+    orElse(
+        [&]() -> Result<void> {
+            std::vector<deployment::ListedServer> servers;
+            std::string page;
+            for (std::size_t n = 0; n < maxListPages; ++n) {
+                BOOST_LEAF_AUTO(reply, runtime::fetch(m_settings.platform->serverList, "GET",
+                                                      m_dialect.servers.listPath(page), {}, {},
+                                                      callTimeouts(), maxAnswerBytes));
+                if (reply.status != 200)
+                    return fail({ErrorCode::Unavailable,
+                                 "weights.list",
+                                 settings::toString(m_settings.platform->serverList),
+                                 "status " + std::to_string(reply.status),
+                                 Outcome::NotRun,
+                                 {}});
+                BOOST_LEAF_AUTO(read, m_dialect.servers.readListPage(reply.body));
+                for (deployment::ListedServer &it : read.servers)
+                    servers.push_back(std::move(it));
+                page = read.nextPage;
+                if (page.empty())
+                    break;
+            }
+            m_servers = std::move(servers);
+            return {};
+        },
+        [](const Error &error) {
+            telemetry::logLine(telemetry::LogLevel::Warn, "weights", "the list was not read",
+                               {{"reason", describe(error)}});
+        });
+}
+
+void WeightsDuty::record(const deployment::RolloutStep &step)
+{
+    if (step.records.empty() && step.gone.empty())
+        return;
+    for (const catalogue::ServerWeights &it : step.records)
+        telemetry::logLine(telemetry::LogLevel::Info, "weights",
+                           it.isLoading ? "server is to load" : "server serves",
+                           {{"server", it.server},
+                            {"model", it.model},
+                            {"version", std::to_string(it.version)},
+                            {"fence", std::to_string(m_term)}});
+    const catalogue::Change change{{}, {}, catalogue::NoteServerWeights{step.records, step.gone}};
+    // A record that gets lost is made again from the next report.
+    m_log.command(catalogue::encodeChange(change), [](const CommandResult &) {});
+}
+
+void WeightsDuty::call(const runtime::StopSignal &stop)
+{
+    while (!stop.requested()) {
+        const std::optional<Call> next = m_calls.pop(callerPoll);
+        if (next)
+            m_answers.tryPush(make(*next));
+        else if (m_calls.isClosed())
+            return;
+    }
+}
+
+deployment::RolloutAnswer WeightsDuty::make(const Call &call) const
+{
+    const deployment::RolloutCall &it = call.call;
+    deployment::RolloutAnswer answer;
+    answer.start = deployment::startOf(it.server);
+    answer.kind = it.kind;
+    return orElse(
+        [&]() -> Result<deployment::RolloutAnswer> {
+            runtime::HttpRequest request;
+            request.method = "GET";
+            request.path = m_dialect.servers.reportPath;
+            request.headers = {{m_dialect.servers.targetField, it.server.id}};
+            if (it.kind == deployment::RolloutCall::Kind::Order) {
+                // The call may have waited in the ring for longer than this member led.
+                if (!mayOrder(monotonicNow()) || m_log.status().standing.term != call.term)
+                    return answer;
+                request = m_dialect.servers.order({it.model, it.version, m_settings.instance,
+                                                   call.term, it.expectedOrders},
+                                                  it.server.id);
+            }
+            BOOST_LEAF_AUTO(reply,
+                            runtime::fetch(it.server.address, request.method, request.path,
+                                           request.headers, request.body, callTimeouts(),
+                                           maxAnswerBytes));
+            if (it.kind == deployment::RolloutCall::Kind::Order) {
+                answer.order = m_dialect.servers.readOrderAnswer(reply.status);
+                telemetry::logLine(telemetry::LogLevel::Info, "weights", "order answered",
+                                   {{"server", it.server.id},
+                                    {"model", it.model},
+                                    {"version", std::to_string(it.version)},
+                                    {"fence", std::to_string(call.term)},
+                                    {"status", std::to_string(reply.status)}});
+            } else if (reply.status == 200) {
+                BOOST_LEAF_ASSIGN(answer.report, m_dialect.servers.readReport(reply.body));
+            }
+            return answer;
+        },
+        [&](const Error &error) {
+            telemetry::logLine(telemetry::LogLevel::Warn, "weights", "call to a server failed",
+                               {{"server", it.server.id},
+                                {"kind", it.kind == deployment::RolloutCall::Kind::Order
+                                     ? "order"
+                                     : "report"},
+                                {"reason", describe(error)}});
+            return answer;
+        });
+}
+
+} // namespace kumquathaven::control
--- /dev/null
+++ b/lib/deployment/rollout.cpp
@@ -0,0 +1,165 @@
+#include "kumquathaven/deployment/rollout.h"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+
+namespace kumquathaven::deployment {
+
+namespace {
+
+/// One of this many servers may load at a time, so that the others carry its requests.
+constexpr std::size_t serversForOneLoad = 5;
+
+const catalogue::ServerWeights *recordOf(const catalogue::Catalogue &catalogue,
+                                         const ListedServer &server, const std::string &model)
+{
+    const auto it = catalogue.serverWeights.find(startOf(server) + "/" + model);
+    return it == catalogue.serverWeights.end() ? nullptr : &it->second;
+}
+
+std::uint64_t versionIn(const std::map<std::string, std::uint64_t> &weights,
+                        const std::string &model)
+{
+    const auto it = weights.find(model);
+    return it == weights.end() ? 0 : it->second;
+}
+
+/// Forgets servers that are gone.
+void forgetGone(Rollout &rollout, const std::vector<ListedServer> &servers,
+                const catalogue::Catalogue &catalogue, RolloutStep &step, TimePoint now)
+{
+    std::set<std::string> present;
+    for (const ListedServer &it : servers)
+        present.insert(startOf(it));
+    for (auto it = rollout.servers.begin(); it != rollout.servers.end();)
+        it = present.count(it->first) == 0 ? rollout.servers.erase(it) : std::next(it);
+    for (auto it = rollout.paused.begin(); it != rollout.paused.end();)
+        it = it->second <= now ? rollout.paused.erase(it) : std::next(it);
+    std::set<std::string> gone;
+    for (const auto &it : catalogue.serverWeights) {
+        if (present.count(it.second.server) == 0)
+            gone.insert(it.second.server);
+    }
+    step.gone.assign(gone.begin(), gone.end());
+}
+
+/// Goes on with a server that was begun. Returns whether it has ended.
+bool goOn(Rollout &rollout, ServerRollout &it, const ListedServer &server, RolloutStep &step,
+          const RolloutTimes &times, TimePoint now)
+{
+    const std::string start = startOf(server);
+    const std::uint64_t reported = it.report ? versionIn(it.report->weights, it.model) : 0;
+    if (it.report && !it.report->isBusy && reported >= it.version) {
+        step.records.push_back({start, it.model, reported, false});
+        return true;
+    }
+    if (now - it.begunAt > times.patience) {
+        // Requests may go there again under the version that it was last seen to have.
+        step.records.push_back(
+            {start, it.model, std::max(reported, versionIn(server.weights, it.model)), false});
+        rollout.paused[start] = now + times.pause;
+        return true;
+    }
+    if (it.isCalled || now < it.dueAt)
+        return false;
+    it.isCalled = true;
+    RolloutCall call{RolloutCall::Kind::Report, server, it.model, it.version, std::nullopt};
+    if (it.report && !it.report->isBusy && !it.isOrdered) {
+        call.kind = RolloutCall::Kind::Order;
+        call.expectedOrders = it.report->orders;
+        it.isOrdered = true;
+        it.orderedAt = now;
+    }
+    step.calls.push_back(std::move(call));
+    return false;
+}
+
+} // namespace
+
+std::size_t loadingAtOnce(std::size_t servers)
+{
+    return std::max<std::size_t>(1, servers / serversForOneLoad);
+}
+
+std::uint64_t weightsOf(const catalogue::Catalogue &catalogue, const ListedServer &server,
+                        const std::string &model)
+{
+    const catalogue::ServerWeights *record = recordOf(catalogue, server, model);
+    const std::uint64_t listed = versionIn(server.weights, model);
+    return record && !record->isLoading ? std::max(record->version, listed) : listed;
+}
+
+RolloutStep nextStep(Rollout &rollout, const std::vector<ListedServer> &servers,
+                     const catalogue::Catalogue &catalogue, const RolloutTimes &times,
+                     TimePoint now)
+{
+    RolloutStep step;
+    forgetGone(rollout, servers, catalogue, step, now);
+    for (const auto &[model, version] : catalogue.weights) {
+        std::size_t holders = 0;
+        std::size_t loading = 0;
+        std::vector<const ListedServer *> behind;
+        for (const ListedServer &it : servers) {
+            if (it.weights.count(model) == 0)
+                continue;
+            ++holders;
+            const std::string start = startOf(it);
+            const auto begun = rollout.servers.find(start);
+            if (begun != rollout.servers.end() && begun->second.model == model) {
+                if (goOn(rollout, begun->second, it, step, times, now))
+                    rollout.servers.erase(begun);
+                else
+                    ++loading;
+            } else if (!it.isLeaving && weightsOf(catalogue, it, model) < version
+                       && rollout.paused.count(start) == 0) {
+                behind.push_back(&it);
+            }
+        }
+        const std::size_t most = loadingAtOnce(holders);
+        for (const ListedServer *it : behind) {
+            if (loading++ >= most)
+                break;
+            ServerRollout &begun = rollout.servers[startOf(*it)];
+            begun.model = model;
+            begun.version = version;
+            begun.begunAt = now;
+            begun.dueAt = now + times.noticeTime;
+            begun.isCalled = true;
+            step.records.push_back({startOf(*it), model, weightsOf(catalogue, *it, model), true});
+            step.calls.push_back({RolloutCall::Kind::Report, *it, model, version, std::nullopt});
+        }
+    }
+    return step;
+}
+
+void take(Rollout &rollout, const RolloutAnswer &answer, const RolloutTimes &times, TimePoint now)
+{
+    const auto found = rollout.servers.find(answer.start);
+    if (found == rollout.servers.end())
+        return;
+    ServerRollout &it = found->second;
+    it.isCalled = false;
+    if (answer.report)
+        it.report = answer.report;
+    it.dueAt = std::max(it.dueAt, now + times.reportInterval);
+    if (answer.kind == RolloutCall::Kind::Report) {
+        // The first report is followed by the order as soon as entries have been told.
+        if (answer.report && !it.isOrdered)
+            it.dueAt = std::min(it.dueAt, it.begunAt + times.noticeTime);
+        // Reports lag, so that only a later one shows that the order was lost.
+        if (it.isOrdered && now - it.orderedAt > times.orderPatience && answer.report && !answer.report->isBusy
+            && versionIn(answer.report->weights, it.model) < it.version)
+            it.isOrdered = false;
+        return;
+    }
+    const bool isRefused = answer.order
+        && (*answer.order == OrderAnswer::Busy || *answer.order == OrderAnswer::Refused);
+    // What was reported before the order says nothing of it. If it was refused, another one is under
+    // way or the count of orders has moved on.
+    it.report.reset();
+    if (isRefused)
+        it.isOrdered = false;
+}
+
+} // namespace kumquathaven::deployment
--- a/lib/entry/kvtransfer.cpp
+++ b/lib/entry/kvtransfer.cpp
@@ -93,7 +93,7 @@
     std::unique_lock<std::mutex> lock(m_mutex);
     while (runs() && monotonicNow() < plan.until) {
         const TimePoint next = std::min(plan.until, monotonicNow() + joinCheckInterval);
-        m_importEnded.wait_until(lock, next);
+        m_importEnded.wait_for(lock, next - monotonicNow());
         lock.unlock();
         const bool isGone = gone();
         lock.lock();
--- a/lib/feed/client.cpp
+++ b/lib/feed/client.cpp
@@ -9,6 +9,7 @@
 #include "kumquathaven/telemetry/log.h"
 
 #include <atomic>
+#include <cassert>
 #include <mutex>
 #include <random>
 #include <thread>
@@ -81,6 +82,7 @@
     void act(const FollowerEffects &effects);
     void changeLinks(const FollowerEffects &effects);
     void deliver(const std::vector<Delivery> &deliveries);
+    void followMembers(const catalogue::Catalogue &catalogue);
     void nextMember();
     void drop(wire::LinkId &link);
 
@@ -113,6 +115,10 @@
 {
     for (const settings::Member &it : settings.members)
         m_members.push_back(it.link);
+    if (settings.platform) {
+        for (const settings::Address &it : settings.platform->seeds)
+            m_members.push_back(settings::linkOfSeed(settings, it));
+    }
     const auto pushKind = [this](Event::Kind kind, const wire::Peer &peer) {
         push({kind, peer.link, peer.name, peer.outgoing, {}});
     };
@@ -277,8 +283,10 @@
     changeLinks(effects);
     if (effects.quietControl)
         m_hub.setQuiet(m_control, *effects.quietControl);
-    if (effects.snapshot)
+    if (effects.snapshot) {
+        followMembers(*effects.snapshot->catalogue);
         m_view.offer(*effects.snapshot);
+    }
     for (const FollowerEffects::Sending &it : effects.messages) {
         const wire::LinkId link = it.uplink == Uplink::Control ? m_control.load() : m_relay;
         // A refused message is not sent again here: the link is closing, or the next proof is late.
@@ -324,11 +332,25 @@
     }
 }
 
+/// Where no settings list the control members, the control state itself tells who they are.
+void FeedClient::Impl::followMembers(const catalogue::Catalogue &catalogue)
+{
+    if (catalogue.controlLinks.empty())
+        return;
+    m_members.clear();
+    for (const std::string &it : catalogue.controlLinks) {
+        const settings::Address address = settings::parseAddress(it);
+        if (address.port != 0)
+            m_members.push_back(address);
+    }
+}
+
 void FeedClient::Impl::nextMember()
 {
     if (m_control != 0)
         m_hub.disconnect(m_control);
     ++m_member;
+    assert(!m_members.empty() && "there is at least one control member");
     m_control = m_hub.connect(m_members[m_member % m_members.size()]);
     const std::lock_guard<std::mutex> lock(m_mutex);
     m_status.member.clear();
--- /dev/null
+++ b/lib/settings/platform.cpp
@@ -0,0 +1,92 @@
+#include "platform.h"
+
+namespace kumquathaven::settings {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr std::size_t maxSeeds = 16;
+
+void readSeeds(MapReader &reader, Platform &platform, Problems &problems)
+{
+    const YAML::Node list = reader.child("seeds", YAML::NodeType::Sequence, true);
+    if (!list.IsDefined())
+        return;
+    for (const YAML::Node &it : list) {
+        const Address address = parseAddress(it.IsScalar() ? it.Scalar() : std::string());
+        if (address.port == 0)
+            problems.add(it.Mark(), "platform.seeds", "must be IP addresses with ports");
+        else
+            platform.seeds.push_back(address);
+    }
+    if (platform.seeds.empty() || platform.seeds.size() > maxSeeds)
+        reader.problem("seeds", "must have 1 to " + std::to_string(maxSeeds) + " addresses");
+}
+
+void readServerList(MapReader &platformReader, Platform &platform, Problems &problems)
+{
+    const YAML::Node node = platformReader.child("serverList", YAML::NodeType::Map, true);
+    if (!node.IsDefined())
+        return;
+    MapReader reader(node, "platform.serverList", problems);
+    reader.address("address", platform.serverList, true);
+    reader.number("callsPerSecond", platform.listCallsPerSecond, 0.1, 100000);
+    reader.duration("lag", platform.listLag, milliseconds(0), minutes(1));
+    reader.finish();
+}
+
+void readRetries(MapReader &platformReader, Platform &platform, Problems &problems)
+{
+    const YAML::Node node = platformReader.child("retries", YAML::NodeType::Map, false);
+    if (!node.IsDefined())
+        return;
+    MapReader reader(node, "platform.retries", problems);
+    reader.number("ratio", platform.retryRatio, 0, 10);
+    reader.integer("slack", platform.retrySlack, 0, 1000000);
+    reader.duration("window", platform.retryWindow, milliseconds(100), minutes(10));
+    reader.finish();
+}
+
+void readTimes(MapReader &reader, Platform &platform)
+{
+    reader.duration("drainTime", platform.drainTime, milliseconds(100), minutes(10));
+    reader.duration("stopGrace", platform.stopGrace, milliseconds(100), minutes(10));
+    reader.duration("inForceTime", platform.inForceTime, milliseconds(100), minutes(10));
+    reader.duration("orderLease", platform.orderLease, milliseconds(100), minutes(10));
+    reader.duration("maxEntriesTtl", platform.maxEntriesTtl, milliseconds(100), minutes(10));
+}
+
+} // namespace
+
+std::optional<Platform> readPlatform(MapReader &top, Role role, Problems &problems)
+{
+    const YAML::Node node = top.child("platform", YAML::NodeType::Map, false);
+    if (!node.IsDefined())
+        return std::nullopt;
+    Platform platform;
+    MapReader reader(node, "platform", problems);
+    readSeeds(reader, platform, problems);
+    reader.flag("firstStart", platform.isFirstStart);
+    reader.integer("lossesTolerated", platform.lossesTolerated, 0, 100);
+    const bool isControl = role == Role::Control;
+    for (const char *it : {"declarations", "directory"}) {
+        if (!isControl && reader.has(it))
+            reader.problem(it, "is allowed only for role control");
+    }
+    if (isControl) {
+        reader.address("declarations", platform.declarations, true);
+        reader.address("directory", platform.directory, false);
+    }
+    readServerList(reader, platform, problems);
+    readTimes(reader, platform);
+    readRetries(reader, platform, problems);
+    reader.integer("memoryMb", platform.memoryMb, 16, 1000000);
+    reader.integer("maxDescriptors", platform.maxDescriptors, 256, 10000000);
+    reader.finish();
+    return platform;
+}
+
+} // namespace kumquathaven::settings
--- a/lib/settings/reader.cpp
+++ b/lib/settings/reader.cpp
@@ -33,6 +33,25 @@
     return std::nullopt;
 }
 
+// Reads a duration in microseconds. It may have a fraction, as in "2.5s".
+std::optional<std::uint64_t> microseconds(const std::string &text)
+{
+    if (const auto whole = withUnit(text, durationUnits))
+        return whole;
+    double number = 0;
+    const char *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, number);
+    if (parsed.ec != std::errc() || !(number >= 0))
+        return std::nullopt;
+    const std::string_view unit(parsed.ptr, static_cast<std::size_t>(end - parsed.ptr));
+    for (const auto &it : durationUnits) {
+        const double product = number * static_cast<double>(it.factor);
+        if (it.name == unit && product < static_cast<double>(Duration::max().count()))
+            return static_cast<std::uint64_t>(product);
+    }
+    return std::nullopt;
+}
+
 std::string durationText(Duration d)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(d).count()) + "ms";
@@ -116,12 +135,41 @@
     value = static_cast<std::uint32_t>(*number);
 }
 
+void MapReader::number(const std::string &field, double &value, double min, double max)
+{
+    const YAML::Node node = scalar(field, false);
+    if (!node.IsDefined())
+        return;
+    const std::string &text = node.Scalar();
+    double number = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+    const bool isNumber = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
+    if (!isNumber || !(number >= min && number <= max)) {
+        problem(field,
+                "\"" + text + "\" is not a number from " + std::to_string(min) + " to "
+                    + std::to_string(max));
+        return;
+    }
+    value = number;
+}
+
+void MapReader::flag(const std::string &field, bool &value)
+{
+    const YAML::Node node = scalar(field, false);
+    if (!node.IsDefined())
+        return;
+    if (node.Scalar() == "true" || node.Scalar() == "false")
+        value = node.Scalar() == "true";
+    else
+        problem(field, "must be true or false");
+}
+
 void MapReader::duration(const std::string &field, Duration &value, Duration min, Duration max)
 {
     const YAML::Node node = scalar(field, false);
     if (!node.IsDefined())
         return;
-    const auto number = withUnit(node.Scalar(), durationUnits);
+    const auto number = microseconds(node.Scalar());
     const auto asDuration = number && *number < static_cast<std::uint64_t>(Duration::max().count())
         ? Duration(static_cast<Duration::rep>(*number))
         : Duration(-1);
--- a/lib/settings/reader.h
+++ b/lib/settings/reader.h
@@ -36,7 +36,11 @@
     void string(const std::string &field, std::string &value, bool required);
     void integer(const std::string &field, std::uint32_t &value, std::uint32_t min,
                  std::uint32_t max);
-    /// Reads "200ms", "5s" or "2m".
+    /// Reads a number that may have a fraction.
+    void number(const std::string &field, double &value, double min, double max);
+    /// Reads "true" or "false".
+    void flag(const std::string &field, bool &value);
+    /// Reads "200ms", "5s", "2.5s" or "2m".
     void duration(const std::string &field, Duration &value, Duration min, Duration max);
     /// Reads "65536", "64KiB" or "8MiB".
     void bytes(const std::string &field, std::uint32_t &value, std::uint32_t min,
--- a/lib/settings/settings.cpp
+++ b/lib/settings/settings.cpp
@@ -1,5 +1,6 @@
 #include "kumquathaven/settings/settings.h"
 
+#include "platform.h"
 #include "reader.h"
 
 #include <charconv>
@@ -44,6 +45,12 @@
 
 void readMembers(MapReader &top, Settings &settings, Problems &problems)
 {
+    // On a platform the members are found through seeds.
+    const bool isListed = !settings.platform.has_value();
+    if (!isListed && top.has("control"))
+        top.problem("control", "is not allowed beside \"platform\"");
+    if (!isListed)
+        return;
     const YAML::Node list = top.child("control", YAML::NodeType::Sequence, true);
     if (!list.IsDefined())
         return;
@@ -178,7 +185,7 @@
     if (!settings.linkSecret.empty() && settings.linkSecret.size() < minSecretChars)
         top.problem("linkSecret",
                     "must have at least " + std::to_string(minSecretChars) + " characters");
-    if (settings.role != Role::Control)
+    if (settings.role != Role::Control || settings.platform)
         return;
     for (const auto &it : settings.members) {
         if (it.name == settings.instance)
@@ -203,6 +210,7 @@
     top.integer("weight", settings.weight, 1, 10000);
     readDataFolder(top, settings);
     readPlatformList(top, settings, problems);
+    settings.platform = readPlatform(top, settings.role, problems);
     readMembers(top, settings, problems);
     top.duration("freshnessBound", settings.freshnessBound, milliseconds(500), seconds(60));
     top.duration("entriesTtl", settings.entriesTtl, milliseconds(100), seconds(600));
@@ -264,6 +272,11 @@
     return settings;
 }
 
+Address linkOfSeed(const Settings &settings, const Address &seed)
+{
+    return {seed.host, settings.link.port};
+}
+
 Address reachableCallers(const Settings &settings)
 {
     return settings.announcedCallers.port == 0 ? settings.callers : settings.announcedCallers;
