Weights: the oldest go first, a third at a time, and age counts for each version

A rollout took three servers at a time and the newest list order, so that a version named every 2.4 s left some servers two behind; and an entry counted the age of old weights from the newest naming, which began anew each time. Ruled out: late news (entries learn of a naming within 30 ms), orders lost (none refused).

Change: servers with the oldest weights are ordered first, one in three may be out of service, entries count for each version since when a newer one is named and send nothing to it after 0.6 of the time.

--- a/include/kumquathaven/settings/settings.h
+++ b/include/kumquathaven/settings/settings.h
@@ -101,6 +101,8 @@
     Duration stopGrace = std::chrono::seconds(8);
     /// Time for which an accepted declaration may not be in force yet.
     Duration inForceTime = std::chrono::seconds(2);
+    /// Nothing may begin on older weights this long after newer ones were named.
+    Duration weightsTime = std::chrono::seconds(6);
     /// A new holder of orders waits this long after the one before.
     Duration orderLease = std::chrono::seconds(3);
     /// Longest time for which callers may keep the answer that says which entries to use.
--- a/lib/consensus/replication.cpp
+++ b/lib/consensus/replication.cpp
@@ -242,8 +242,11 @@
     if (m_configuration.contains(m_self))
         result.push_back({m_self, m_configuration.isVoter(m_self), m_syncedIndex, {}, false});
     for (const auto &it : m_progress) {
-        result.push_back({it.first, m_configuration.isVoter(it.first), it.second.match,
-                          now - it.second.heardAt, it.second.sending == Sending::Snapshot});
+        // One that was just added has had no time to answer.
+        const Duration silence =
+            it.second.heardAt == TimePoint{} ? Duration(0) : now - it.second.heardAt;
+        result.push_back({it.first, m_configuration.isVoter(it.first), it.second.match, silence,
+                          it.second.sending == Sending::Snapshot});
     }
     return result;
 }
--- a/lib/deployment/rollout.cpp
+++ b/lib/deployment/rollout.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-/// One of this many servers may load at a time, so that the others carry its requests.
-constexpr std::size_t serversForOneLoad = 5;
+/// One of this many servers may be taken out of service at a time, so that the others carry its
+/// requests. It loads only once what runs there has ended, so that fewer load at the same moment.
+constexpr std::size_t serversForOneLoad = 3;
 
 const catalogue::ServerWeights *recordOf(const catalogue::Catalogue &catalogue,
                                          const ListedServer &server, const std::string &model)
@@ -116,6 +117,11 @@
                 behind.push_back(&it);
             }
         }
+        // The oldest weights go first: they are the first that may not be used any more.
+        std::stable_sort(behind.begin(), behind.end(),
+                         [&](const ListedServer *a, const ListedServer *b) {
+                             return weightsOf(catalogue, *a, model) < weightsOf(catalogue, *b, model);
+                         });
         const std::size_t most = loadingAtOnce(holders);
         for (const ListedServer *it : behind) {
             if (loading++ >= most)
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -30,6 +30,7 @@
     , counters(m)
 {
     const settings::Platform &platform = *s.platform;
+    servers.weightsTime = platform.weightsTime;
     retryRules.ratio = platform.retryRatio;
     retryRules.slack = platform.retrySlack;
     retryRules.window = platform.retryWindow;
--- a/lib/gateway/servers.cpp
+++ b/lib/gateway/servers.cpp
@@ -26,11 +26,14 @@
 /// A shared part counts as kept by the store for this long after it was sent there.
 constexpr Duration storedFor = std::chrono::seconds(60);
 constexpr std::size_t maxStored = 20'000;
-/// How long old weights are as good as new ones after new ones were named, from when on they are
-/// not used at all, and what wait for new ones is worth it in between.
-constexpr Duration freeOldTime = std::chrono::milliseconds(1200);
-constexpr Duration lastOldTime = std::chrono::milliseconds(4500);
+/// Parts of the time that new weights have to be in place: for which old ones are as good, and after
+/// which nothing is sent to them, since a request may still wait there. In between this wait for new
+/// ones is worth it.
+constexpr double freeOldPart = 0.2;
+constexpr double lastOldPart = 0.6;
 constexpr Duration waitForNew = std::chrono::milliseconds(300);
+/// Versions that are remembered of each model; older ones are out of use.
+constexpr std::size_t maxNamed = 64;
 
 routing::Policy policyOf()
 {
@@ -84,14 +87,6 @@
         refresh(servers, start, server);
 }
 
-std::uint64_t newestNamed(const Servers &servers, const std::string &model)
-{
-    if (!servers.catalogue)
-        return 0;
-    const auto it = servers.catalogue->weights.find(model);
-    return it == servers.catalogue->weights.end() ? 0 : it->second;
-}
-
 /// Returns the parts of a prompt; the rest of its tokens is a part of its own.
 std::vector<routing::NamedPart> partsOf(const deployment::CallerHead &head)
 {
@@ -264,14 +259,31 @@
     out.store = std::move(view);
 }
 
-/// Leaves only the servers with the given weights.
-routing::Request withVersion(const Servers &servers, const routing::Request &request,
-                             const std::string &version)
+/// Returns how long ago a version of a model was replaced by the naming of a newer one.
+Duration replacedFor(const Servers &servers, const std::string &model, std::uint64_t version,
+                     TimePoint now)
+{
+    const auto named = servers.namedAt.find(model);
+    if (named == servers.namedAt.end())
+        return Duration(0);
+    const auto next = named->second.upper_bound(version);
+    return next == named->second.end() ? Duration(0) : now - next->second;
+}
+
+std::uint64_t numberOf(const std::string &version)
+{
+    return std::stoull("0" + version);
+}
+
+/// Leaves only the servers whose weights were replaced for less than \p longest.
+routing::Request withWeights(const Servers &servers, const routing::Request &request,
+                             const std::string &model, Duration longest, TimePoint now)
 {
     routing::Request out = request;
     out.candidates.clear();
     for (const routing::Slot it : request.candidates) {
-        if (servers.fleet.upstreams[it].weightsVersion == version)
+        const std::uint64_t version = numberOf(servers.fleet.upstreams[it].weightsVersion);
+        if (replacedFor(servers, model, version, now) < longest)
             out.candidates.push_back(it);
     }
     return out;
@@ -282,16 +294,15 @@
 std::optional<routing::Choice> chooseVersion(const Servers &servers, const routing::Request &request,
                                              const std::string &model, TimePoint now)
 {
-    const std::uint64_t newest = newestNamed(servers, model);
-    const auto named = servers.namedAt.find(model);
-    const Duration age = named == servers.namedAt.end() ? Duration(0) : now - named->second;
-    if (newest == 0 || named == servers.namedAt.end() || age < freeOldTime)
-        return routing::choose(servers.fleet, request, now);
-    const auto fresh = withVersion(servers, request, std::to_string(newest));
+    const auto part = [&servers](double share) {
+        return std::chrono::duration_cast<Duration>(servers.weightsTime * share);
+    };
+    const auto fresh = withWeights(servers, request, model, part(freeOldPart), now);
+    const auto usable = withWeights(servers, request, model, part(lastOldPart), now);
     const auto onNew = routing::choose(servers.fleet, fresh, now);
-    if (age >= lastOldTime)
+    if (fresh.candidates.size() == usable.candidates.size())
         return onNew;
-    const auto onAny = routing::choose(servers.fleet, request, now);
+    const auto onAny = routing::choose(servers.fleet, usable, now);
     const bool isWorthWait = onNew && onAny
         && onNew->expectedFirstToken <= onAny->expectedFirstToken + waitForNew;
     return isWorthWait ? onNew : onAny;
@@ -313,7 +324,7 @@
         });
     Pick result = pickOf(*chosen, service);
     result.ticket = routing::commit(servers.fleet, out, *choice, now);
-    result.weights = std::stoull("0" + choice->weightsVersion);
+    result.weights = numberOf(choice->weightsVersion);
     result.cacheScope = scopeOf(request.customer, choice->weightsVersion);
     result.expectedFirstToken = choice->expectedFirstToken;
     result.reason = routing::describe(*choice);
@@ -384,8 +395,11 @@
                    TimePoint now)
 {
     for (const auto &[model, version] : catalogue->weights) {
-        if (version > newestNamed(servers, model))
-            servers.namedAt[model] = now;
+        std::map<std::uint64_t, TimePoint> &named = servers.namedAt[model];
+        // What was named before this instance knew any of them may be as old as it likes.
+        named.emplace(version, now);
+        if (named.size() > maxNamed)
+            named.erase(named.begin());
     }
     servers.catalogue = std::move(catalogue);
     refreshAll(servers);
--- a/lib/gateway/servers.h
+++ b/lib/gateway/servers.h
@@ -44,8 +44,10 @@
     std::map<std::string, KnownServer> known;
     TimePoint listedAt{};
     std::shared_ptr<const catalogue::Catalogue> catalogue;
-    /// When this instance learned of the newest version of each model's weights.
-    std::map<std::string, TimePoint> namedAt;
+    /// When this instance learned of the versions of each model's weights.
+    std::map<std::string, std::map<std::uint64_t, TimePoint>> namedAt;
+    /// How long after a newer version was named nothing may begin on an older one.
+    Duration weightsTime = std::chrono::seconds(6);
     /// Versions that servers showed themselves, by start and model; newer than list and catalogue.
     std::map<std::string, std::uint64_t> shown;
     /// Shared prompts that were sent to the store, by the hash of their last block.
--- a/lib/settings/platform.cpp
+++ b/lib/settings/platform.cpp
@@ -55,6 +55,7 @@
     reader.duration("drainTime", platform.drainTime, milliseconds(100), minutes(10));
     reader.duration("stopGrace", platform.stopGrace, milliseconds(100), minutes(10));
     reader.duration("inForceTime", platform.inForceTime, milliseconds(100), minutes(10));
+    reader.duration("weightsTime", platform.weightsTime, milliseconds(100), minutes(10));
     reader.duration("orderLease", platform.orderLease, milliseconds(100), minutes(10));
     reader.duration("maxEntriesTtl", platform.maxEntriesTtl, milliseconds(100), minutes(10));
 }
