--- a/include/kumquathaven/http/connection.h
+++ b/include/kumquathaven/http/connection.h
@@ -71,6 +71,10 @@
     /// Lets the system find out within \p time that the other side is gone while bytes wait.
     void setSilenceLimit(Duration time);
 
+    /// Has the system probe an idle connection, so that it ends about \p time after the other side
+    /// fell silent.
+    void setProbes(Duration time);
+
 private:
     void waitReadable();
     void readAvailable();
--- a/lib/gateway/gatewayrole.cpp
+++ b/lib/gateway/gatewayrole.cpp
@@ -3,6 +3,7 @@
 #include "gateway.h"
 #include "listener.h"
 #include "serverlist.h"
+#include "storewatch.h"
 
 #include "kumquathaven/base/walltime.h"
 #include "kumquathaven/feed/client.h"
@@ -70,6 +71,7 @@
     TokenLimits limits;
     Gateway gateway;
     ServerListReader list;
+    StoreWatch store;
     Listener listener;
     runtime::HttpServer probes;
     boost::asio::steady_timer timer;
@@ -98,6 +100,7 @@
            [this](const std::vector<deployment::ListedServer> &servers) {
                takeList(gateway.servers, servers, monotonicNow());
            })
+    , store(gateway)
     , listener(gateway)
     , probes({probeThreads}, [this](runtime::HttpExchange &it) {
         answerProbe(it);
@@ -179,6 +182,7 @@
     takeView(now);
     limits.tick(now);
     list.tick(now);
+    store.tick(now);
     gateway.isLeaving = isLeaving;
     running = gateway.running;
     isReady = gateway.plan != nullptr && gateway.servers.listedAt != TimePoint{} && !isLeaving;
--- a/lib/gateway/servers.cpp
+++ b/lib/gateway/servers.cpp
@@ -243,7 +243,9 @@
               routing::Request &out, TimePoint now)
 {
     const std::uint64_t shared = sharedTokensOf(*request.head);
-    if (store == nullptr || engine == nullptr || !engine->engine || shared < leastStoredTokens)
+    const bool isOfUse = store != nullptr && servers.isStoreReachable && engine != nullptr
+        && engine->engine && shared >= leastStoredTokens;
+    if (!isOfUse)
         return;
     routing::StoreView view;
     for (const routing::PrefixChain &chain : out.chains) {
@@ -332,7 +334,8 @@
     if (out.store && store != nullptr) {
         const bool isHeld = choice->expectedCachedTokens + blockTokens >= shared;
         const bool isKept = out.store->storedTokens[choice->chain] > 0;
-        if (!isHeld && isKept)
+        // Another instance may have had it stored; a fetch of what is not there takes a millisecond.
+        if (!isHeld)
             result.fetchFrom = store->store->address;
         const auto &blocks = out.chains[choice->chain].blocks();
         const std::size_t n = std::min<std::size_t>(shared / blockTokens, blocks.size());
--- a/lib/gateway/servers.h
+++ b/lib/gateway/servers.h
@@ -50,6 +50,8 @@
     Duration weightsTime = std::chrono::seconds(6);
     /// Versions that servers showed themselves, by start and model; newer than list and catalogue.
     std::map<std::string, std::uint64_t> shown;
+    /// Whether the store can be reached. Nothing is fetched from it or sent there otherwise.
+    bool isStoreReachable = false;
     /// Shared prompts that were sent to the store, by the hash of their last block.
     std::map<std::uint64_t, TimePoint> stored;
 };
--- a/lib/http/connection.cpp
+++ b/lib/http/connection.cpp
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -225,4 +226,17 @@
     setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
 }
 
+void Connection::setProbes(Duration time)
+{
+    constexpr int probes = 2;
+    const int seconds = static_cast<int>(
+        std::max<std::int64_t>(1, std::chrono::duration_cast<std::chrono::seconds>(time).count() / probes));
+    const int on = 1;
+    const int handle = m_socket.native_handle();
+    setsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof(seconds));
+    setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof(seconds));
+    setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+}
+
 } // namespace kumquathaven::http
