Token limits on a platform: shares by demand instead of slices of a home

Change: limits/shares: each entry tells the others what customers ask of it and refills its own account with the part of the rate that falls to its demand; nobody waits for another.

--- a/lib/gateway/exchange.cpp
+++ b/lib/gateway/exchange.cpp
@@ -56,7 +56,14 @@
     if (!isKnown)
         return;
     armDeadline();
-    reserveTokens();
+    if (m_customer != nullptr) {
+        if (auto refused = m_gateway.limits.spend(*m_customer, m_tokens, m_arrivedAt)) {
+            m_tokens = 0;
+            refuse(std::move(*refused));
+            return;
+        }
+    }
+    send();
 }
 
 /// Finds route and customer.
@@ -96,39 +103,6 @@
     });
 }
 
-void Exchange::reserveTokens()
-{
-    if (m_customer == nullptr || m_customer->rateTokensPerSecond == 0) {
-        send();
-        return;
-    }
-    const std::weak_ptr<Exchange> weak = weak_from_this();
-    // The decision may come before the number of the reservation is known here.
-    const auto isDecided = std::make_shared<bool>(false);
-    const auto answer = std::make_shared<std::optional<Error>>();
-    const TimePoint now = monotonicNow();
-    m_reservation = m_gateway.limits.reserve(
-        *m_customer, m_tokens,
-        [weak, isDecided, answer](std::optional<Error> refused) {
-            *isDecided = true;
-            *answer = std::move(refused);
-            const auto self = weak.lock();
-            if (self && self->m_reservation != 0 && !self->m_isOver)
-                self->tokensDecided(*answer);
-        },
-        now);
-    if (*isDecided)
-        tokensDecided(*answer);
-}
-
-void Exchange::tokensDecided(std::optional<Error> refused)
-{
-    if (refused)
-        refuse(std::move(*refused));
-    else
-        send();
-}
-
 void Exchange::deadlinePassed()
 {
     if (m_isHeadSent) {
@@ -176,8 +150,8 @@
     const TimePoint now = monotonicNow();
     m_deadlineTimer.cancel();
     endSend(SendEnd::Abandoned);
-    if (m_reservation != 0)
-        m_gateway.limits.settle(m_reservation, m_outcome == Outcome::NotRun ? 0 : m_tokens, now);
+    if (m_customer != nullptr && m_outcome == Outcome::NotRun)
+        m_gateway.limits.giveBack(*m_customer, m_tokens, now);
     if (m_isHeadSent || m_outcome != Outcome::NotRun)
         m_gateway.counters.wholeAnswer.observe(toSeconds(now - m_arrivedAt));
     telemetry::logLine(telemetry::LogLevel::Info, "request", what,
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -1,6 +1,6 @@
 // One request of a caller from the moment it was read whole to the end of its answer.
 //
-// Its steps, each a function: find route and customer, reserve tokens, choose a server and send,
+// Its steps, each a function: find route and customer, take tokens, choose a server and send,
 // pass the answer on; after a failure send again if the kind of request and the budget allow it.
 
 #ifndef KUMQUATHAVEN_LIB_GATEWAY_EXCHANGE_H
@@ -41,8 +41,6 @@
 private:
     // exchange.cpp: from the request to the first send.
     Result<void> identify();
-    void reserveTokens();
-    void tokensDecided(std::optional<Error> refusal);
     void armDeadline();
     void deadlinePassed();
 
@@ -82,7 +80,7 @@
     const deployment::Customer *m_customer = nullptr;
     deployment::CallerHead m_callerHead;
     TimePoint m_deadline{};
-    std::uint64_t m_reservation = 0;
+    /// Taken from the customer's account.
     std::uint64_t m_tokens = 0;
     bool m_isOver = false;
 
--- a/lib/gateway/gatewayrole.cpp
+++ b/lib/gateway/gatewayrole.cpp
@@ -91,7 +91,7 @@
     , hub(hubOptions(settings, self.incarnation))
     , feed(settings, hub, view, self)
     , neighbours(settings.instance, hub)
-    , limits(settings.instance, self.incarnation, settings.freshnessBound,
+    , limits(settings.instance,
              [this](const std::string &to, const std::string &body) {
                  neighbours.send(to, {wire::Channel::Slices, limitsFrame, body});
              })
@@ -111,7 +111,12 @@
     wire::ChannelHandlers handlers;
     handlers.received = [this](const wire::Peer &peer, const wire::Frame &frame) {
         boost::asio::post(gateway.loop, [this, name = peer.name, body = frame.body] {
-            limits.receive(name, body, monotonicNow());
+            if (!limits.receive(name, body, monotonicNow()))
+                metrics
+                    .counter("kumquathaven_entry_frames_malformed_total",
+                             "frames of other entries that were not understood",
+                             {{"channel", "limits"}})
+                    .add();
         });
     };
     hub.handle(wire::Channel::Slices, std::move(handlers));
@@ -207,6 +212,7 @@
         && (!gateway.plan || gateway.plan->plan.version < version);
     if (snapshot.instances != held.instances) {
         neighbours.keep(*snapshot.instances);
+        limits.keep(*snapshot.instances);
         gateway.retryRules.instances =
             static_cast<std::uint32_t>(std::max<std::size_t>(1, snapshot.instances->entries.size()));
         gateway.servers.fleet.entries = gateway.retryRules.instances;
@@ -232,8 +238,6 @@
                                    {{"reason", describe(error)}});
             });
     }
-    if (gateway.plan)
-        limits.configure(gateway.plan->plan, snapshot, now);
 }
 
 void GatewayRole::Impl::announce(catalogue::InstanceState state)
--- a/lib/gateway/tokenlimits.cpp
+++ b/lib/gateway/tokenlimits.cpp
@@ -1,20 +1,21 @@
 #include "tokenlimits.h"
 
-#include "kumquathaven/limits/codec.h"
-
+#include <algorithm>
+#include <set>
 #include <utility>
 
 namespace kumquathaven::gateway {
 
 namespace {
 
-/// A request that waits longer for tokens is refused: callers count a late refusal against us.
-constexpr Duration maxWait = std::chrono::milliseconds(150);
-
-std::string bucketOf(const deployment::Customer &customer)
-{
-    return "customer/" + customer.name;
-}
+/// Between two messages to each other instance, while there are few of them.
+constexpr Duration tellInterval = std::chrono::milliseconds(400);
+/// Messages a second that one instance sends at most, so that their number over all instances grows
+/// with the number of instances and not with its square.
+constexpr double mostMessages = 40;
+/// A refused caller comes back no sooner and no later than this.
+constexpr Duration leastRetry = std::chrono::milliseconds(100);
+constexpr Duration mostRetry = std::chrono::seconds(5);
 
 limits::BucketLimits limitsOf(const deployment::Customer &customer)
 {
@@ -23,102 +24,69 @@
     return {rate, burst > 0 ? burst : rate};
 }
 
-limits::Config configOf(Duration freshnessBound)
-{
-    limits::Config config;
-    config.freshnessBound = freshnessBound;
-    config.maxWait = maxWait;
-    return config;
-}
-
 } // namespace
 
-TokenLimits::TokenLimits(const std::string &instance, std::uint64_t incarnation,
-                         Duration freshnessBound,
+TokenLimits::TokenLimits(std::string instance,
                          std::function<void(const std::string &, const std::string &)> send)
-    : m_node(limits::makeNode(instance, incarnation, configOf(freshnessBound)))
+    : m_instance(std::move(instance))
     , m_send(std::move(send))
 { }
 
-void TokenLimits::configure(const deployment::Plan &plan, const catalogue::Snapshot &snapshot,
-                            TimePoint now)
+void TokenLimits::keep(const catalogue::Instances &instances)
 {
-    std::map<std::string, limits::BucketLimits> buckets;
-    for (const deployment::Customer &it : plan.customers) {
-        if (it.rateTokensPerSecond > 0)
-            buckets[bucketOf(it)] = limitsOf(it);
+    std::set<std::string> others;
+    for (const auto &[name, it] : instances.entries) {
+        if (name != m_instance && it.state != catalogue::InstanceState::Starting)
+            others.insert(name);
     }
-    limits::Effects effects;
-    limits::configure(m_node, snapshot.instances, buckets, snapshot.provenAt, now, effects);
-    perform(effects);
+    limits::keepPeers(m_shares, others);
 }
 
-std::uint64_t TokenLimits::reserve(const deployment::Customer &customer, std::uint64_t tokens,
-                                   TokensDecided decided, TimePoint now)
+std::optional<Error> TokenLimits::spend(const deployment::Customer &customer, std::uint64_t tokens,
+                                        TimePoint now)
 {
-    limits::Effects effects;
-    const limits::Decision decision = limits::reserve(
-        m_node, {{bucketOf(customer), limitsOf(customer)}}, {tokens, 0}, now, effects);
-    const bool isWaiting = decision.kind == limits::Decision::Kind::Waiting;
-    if (isWaiting)
-        m_waiting[decision.reservation] = std::move(decided);
-    perform(effects);
-    if (!isWaiting)
-        decided(decision.refusal);
-    return decision.reservation;
+    if (customer.rateTokensPerSecond == 0)
+        return std::nullopt;
+    const auto wait = limits::spend(m_shares, customer.name, limitsOf(customer), tokens, now);
+    if (!wait)
+        return std::nullopt;
+    return Error{ErrorCode::RateLimited,
+                 "limits.spend",
+                 {},
+                 "the customer's rate is used up here",
+                 Outcome::NotRun,
+                 std::clamp(*wait, leastRetry, mostRetry)};
 }
 
-void TokenLimits::startRun(std::uint64_t reservation)
+void TokenLimits::giveBack(const deployment::Customer &customer, std::uint64_t tokens,
+                           TimePoint now)
 {
-    limits::startRun(m_node, reservation);
+    if (customer.rateTokensPerSecond > 0)
+        limits::giveBack(m_shares, customer.name, limitsOf(customer), tokens, now);
 }
 
-void TokenLimits::settle(std::uint64_t reservation, std::uint64_t used, TimePoint now)
+bool TokenLimits::receive(const std::string &from, const std::string &body, TimePoint now)
 {
-    m_waiting.erase(reservation);
-    limits::Effects effects;
-    limits::settle(m_node, reservation, used, now, effects);
-    perform(effects);
-}
-
-void TokenLimits::receive(const std::string &from, const std::string &body, TimePoint now)
-{
-    limits::Effects effects;
-    orElse(
-        [&]() -> Result<void> {
-            BOOST_LEAF_AUTO(messages, limits::decodeMessages(body, from));
-            for (const limits::Message &it : messages)
-                limits::receive(m_node, from, it, now, effects);
-            return {};
+    return orElse(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_AUTO(demands, limits::decodeDemands(body, from));
+            limits::takeDemands(m_shares, from, std::move(demands), now);
+            return true;
         },
-        [this](const Error &) {
-            ++m_malformed;
+        [](const Error &) {
+            return false;
         });
-    perform(effects);
 }
 
 void TokenLimits::tick(TimePoint now)
 {
-    limits::Effects effects;
-    limits::tick(m_node, now, effects);
-    perform(effects);
-}
-
-void TokenLimits::perform(limits::Effects &effects)
-{
-    std::map<std::string, std::vector<limits::Message>> byTarget;
-    for (limits::Envelope &it : effects.messages)
-        byTarget[it.to].push_back(std::move(it.message));
-    for (const auto &[to, messages] : byTarget)
-        m_send(to, limits::encodeMessages(messages));
-    for (limits::Resolution &it : effects.resolutions) {
-        const auto waiting = m_waiting.find(it.reservation);
-        if (waiting == m_waiting.end())
-            continue;
-        const TokensDecided decided = std::move(waiting->second);
-        m_waiting.erase(waiting);
-        decided(std::move(it.refusal));
-    }
+    if (now < m_nextTell)
+        return;
+    const Duration bySize = fromSeconds(static_cast<double>(m_shares.peers.size()) / mostMessages);
+    m_nextTell = now + std::max(tellInterval, bySize);
+    const std::string body = limits::encodeDemands(limits::ownDemands(m_shares, now));
+    for (const auto &it : m_shares.peers)
+        m_send(it.first, body);
 }
 
 } // namespace kumquathaven::gateway
--- a/lib/gateway/tokenlimits.h
+++ b/lib/gateway/tokenlimits.h
@@ -4,61 +4,46 @@
 #define KUMQUATHAVEN_LIB_GATEWAY_TOKENLIMITS_H
 
 #include "kumquathaven/base/error.h"
-#include "kumquathaven/catalogue/view.h"
+#include "kumquathaven/catalogue/instances.h"
 #include "kumquathaven/deployment/plan.h"
-#include "kumquathaven/limits/node.h"
+#include "kumquathaven/limits/shares.h"
 
 #include <cstdint>
 #include <functional>
-#include <map>
-#include <memory>
 #include <optional>
 #include <string>
 
 namespace kumquathaven::gateway {
 
-/// Told once whether the tokens are there, or why not.
-using TokensDecided = std::function<void(std::optional<Error> refusal)>;
-
 /// Used on the loop's thread only.
 class TokenLimits
 {
 public:
-    /// \p send carries messages to another instance; what does not arrive is sent again.
-    TokenLimits(const std::string &instance, std::uint64_t incarnation, Duration freshnessBound,
+    /// \p send carries a message to another instance; one that gets lost is followed by a newer one.
+    TokenLimits(std::string instance,
                 std::function<void(const std::string &, const std::string &)> send);
 
-    /// Takes the customers' limits, the instances and the newest proof of freshness.
-    void configure(const deployment::Plan &plan, const catalogue::Snapshot &snapshot,
-                   TimePoint now);
-
-    /// Reserves tokens of a customer. Returns the reservation, which settle() ends; \p decided may
-    /// be called before this returns. A customer without a limit is not asked for.
-    std::uint64_t reserve(const deployment::Customer &customer, std::uint64_t tokens,
-                          TokensDecided decided, TimePoint now);
+    /// Takes the instances that serve.
+    void keep(const catalogue::Instances &instances);
 
-    /// The request was sent: its tokens are spent for good.
-    void startRun(std::uint64_t reservation);
+    /// Takes tokens of a customer, or returns why not.
+    std::optional<Error> spend(const deployment::Customer &customer, std::uint64_t tokens,
+                               TimePoint now);
 
-    /// Ends a reservation. What did not run is free again. Nobody is told of it any more.
-    void settle(std::uint64_t reservation, std::uint64_t used, TimePoint now);
+    /// Gives back the tokens of a request that did not run.
+    void giveBack(const deployment::Customer &customer, std::uint64_t tokens, TimePoint now);
 
-    /// Takes messages of another instance.
-    void receive(const std::string &from, const std::string &body, TimePoint now);
+    /// Takes a message of another instance. Returns whether it was understood.
+    bool receive(const std::string &from, const std::string &body, TimePoint now);
 
-    /// To be called every few tens of milliseconds.
+    /// Tells the others what customers ask here, when that is due.
     void tick(TimePoint now);
 
-    /// Messages of other instances that were not understood.
-    std::uint64_t malformed() const { return m_malformed; }
-
 private:
-    void perform(limits::Effects &effects);
-
-    limits::Node m_node;
+    const std::string m_instance;
     std::function<void(const std::string &, const std::string &)> m_send;
-    std::map<std::uint64_t, TokensDecided> m_waiting;
-    std::uint64_t m_malformed = 0;
+    limits::Shares m_shares;
+    TimePoint m_nextTell{};
 };
 
 } // namespace kumquathaven::gateway
