Prompts: entries agree on places, tell each other where prompts are, and save each once

The log with prompt, server and use of the store showed that entries chose servers by what each knew alone (476 of 1410 by least wait, up to twelve servers for one part), and that 1320 of 1410 requests had the store save what it kept: 6.5 GB each, more than its link carries, so that fetches were not begun.

Change: a large shared part goes to the first of its places that is not much busier than the best server, ranked alike by all entries; entries tell each other which server a prompt was sent to and whether the store gets it; a store that closes an idle connection in order keeps what it held.

--- a/include/kumquathaven/base/ring.h
+++ b/include/kumquathaven/base/ring.h
@@ -1,4 +1,4 @@
-// A bounded queue between two duties. It refuses when full and never grows.
+// A bounded queue between two duties. It refuses when full.
 
 #ifndef KUMQUATHAVEN_BASE_RING_H
 #define KUMQUATHAVEN_BASE_RING_H
@@ -7,10 +7,10 @@
 
 #include <cassert>
 #include <condition_variable>
+#include <deque>
 #include <mutex>
 #include <optional>
 #include <utility>
-#include <vector>
 
 namespace kumquathaven {
 
@@ -20,7 +20,7 @@
 {
 public:
     explicit BoundedRing(std::size_t capacity)
-        : m_slots(capacity)
+        : m_capacity(capacity)
     {
         assert(capacity > 0 && "a ring needs room for one element");
     }
@@ -30,10 +30,9 @@
     {
         {
             const std::lock_guard<std::mutex> lock(m_mutex);
-            if (m_closed || m_count == m_slots.size())
+            if (m_closed || m_elements.size() == m_capacity)
                 return false;
-            m_slots[(m_head + m_count) % m_slots.size()] = std::move(value);
-            ++m_count;
+            m_elements.push_back(std::move(value));
         }
         m_notEmpty.notify_one();
         return true;
@@ -45,14 +44,12 @@
     {
         std::unique_lock<std::mutex> lock(m_mutex);
         m_notEmpty.wait_for(lock, timeout, [this] {
-            return m_count > 0 || m_closed;
+            return !m_elements.empty() || m_closed;
         });
-        if (m_count == 0)
+        if (m_elements.empty())
             return std::nullopt;
-        std::optional<T> value(std::move(*m_slots[m_head]));
-        m_slots[m_head].reset();
-        m_head = (m_head + 1) % m_slots.size();
-        --m_count;
+        std::optional<T> value(std::move(m_elements.front()));
+        m_elements.pop_front();
         return value;
     }
 
@@ -77,15 +74,15 @@
     std::size_t size() const
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
-        return m_count;
+        return m_elements.size();
     }
 
 private:
     mutable std::mutex m_mutex;
     std::condition_variable m_notEmpty;
-    std::vector<std::optional<T>> m_slots;
-    std::size_t m_head = 0;
-    std::size_t m_count = 0;
+    const std::size_t m_capacity;
+    /// Takes memory only for what is inside.
+    std::deque<T> m_elements;
     bool m_closed = false;
 };
 
--- a/include/kumquathaven/deployment/rollout.h
+++ b/include/kumquathaven/deployment/rollout.h
@@ -25,7 +25,7 @@
     /// Between two reports of a server that loads. Reports lag by some hundred milliseconds.
     Duration reportInterval = std::chrono::milliseconds(200);
     /// An order that no report shows after this time counts as lost.
-    Duration orderPatience = std::chrono::seconds(1);
+    Duration orderPatience = std::chrono::milliseconds(500);
     /// A server that was not seen to load for this long is left alone for a while.
     Duration patience = std::chrono::seconds(5);
     Duration pause = std::chrono::seconds(2);
--- a/include/kumquathaven/settings/settings.h
+++ b/include/kumquathaven/settings/settings.h
@@ -103,7 +103,9 @@
     Duration inForceTime = std::chrono::seconds(2);
     /// Nothing may begin on older weights this long after newer ones were named.
     Duration weightsTime = std::chrono::seconds(6);
-    /// A new holder of orders waits this long after the one before.
+    /// Whether servers refuse orders with an old fencing number. Where they do not, a new holder of
+    /// orders waits for the lease of the one before.
+    bool checksFencing = false;
     Duration orderLease = std::chrono::seconds(3);
     /// Longest time for which callers may keep the answer that says which entries to use.
     Duration maxEntriesTtl = std::chrono::seconds(5);
--- a/lib/control/controlrole.cpp
+++ b/lib/control/controlrole.cpp
@@ -31,6 +31,11 @@
 constexpr Duration operatorsDrain = std::chrono::seconds(1);
 constexpr std::uint32_t operatorThreads = 16;
 
+/// Members of a platform are a millisecond apart, and everything waits for a leader after all of
+/// them were stopped at once.
+constexpr Duration platformHeartbeat = std::chrono::milliseconds(150);
+constexpr Duration platformElectionTimeout = std::chrono::milliseconds(600);
+
 constexpr int exitAfterFailure = 1;
 constexpr runtime::RestartPolicy endOnFirstFailure{0};
 
@@ -49,6 +54,8 @@
         log.group.instances.push_back(settings::toString(settings::linkOfSeed(settings, it)));
     log.isFounder = platform.isFirstStart && log.group.instances.front() == settings.instance;
     log.group.replica.isSelfGoverned = true;
+    log.group.replica.heartbeat = platformHeartbeat;
+    log.group.replica.electionTimeout = platformElectionTimeout;
     log.governance.emplace();
     log.governance->minVoters = 2 * platform.lossesTolerated + 1;
 }
--- a/lib/control/weightsduty.cpp
+++ b/lib/control/weightsduty.cpp
@@ -38,12 +38,14 @@
     , m_answers(ringCapacity)
 { }
 
-/// The former holder's orders may still be under way until its lease has ended.
+/// The former holder's orders may still be under way until its lease has ended. Servers that check
+/// the fencing number refuse them once they have seen a later one.
 bool WeightsDuty::mayOrder(TimePoint now) const
 {
+    const settings::Platform &platform = *m_settings.platform;
     const LogStatus status = m_log.status();
-    return status.standing.role == consensus::Role::Leader
-        && now - status.leaderSince >= m_settings.platform->orderLease
+    const Duration wait = platform.checksFencing ? Duration(0) : platform.orderLease;
+    return status.standing.role == consensus::Role::Leader && now - status.leaderSince >= wait
         && now - status.proof.at <= maxProofAge;
 }
 
--- a/lib/gateway/gatewayrole.cpp
+++ b/lib/gateway/gatewayrole.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway.h"
 #include "listener.h"
+#include "placementnews.h"
 #include "serverlist.h"
 #include "storewatch.h"
 
@@ -35,6 +36,11 @@
 constexpr std::uint32_t probeThreads = 4;
 constexpr int exitAfterFailure = 1;
 constexpr const char *limitsFrame = "limits";
+constexpr const char *placementsFrame = "placements";
+/// Between two messages with news of shared prompts to each other entry, while there are few.
+constexpr Duration newsInterval = std::chrono::milliseconds(50);
+/// Such messages a second that one entry sends at most.
+constexpr double mostNewsMessages = 150;
 
 wire::HubOptions hubOptions(const settings::Settings &settings, std::uint64_t incarnation)
 {
@@ -58,6 +64,8 @@
     void scheduleTick();
     void tick();
     void takeView(TimePoint now);
+    void receive(const std::string &peer, const wire::Frame &frame);
+    void tellNews(TimePoint now);
     void announce(catalogue::InstanceState state);
     void answerProbe(runtime::HttpExchange &exchange);
 
@@ -77,6 +85,7 @@
     boost::asio::steady_timer timer;
     catalogue::Snapshot held;
     TimePoint nextSweep{};
+    TimePoint nextNews{};
     std::atomic<bool> isReady{false};
     std::atomic<bool> isLeaving{false};
     std::atomic<std::uint32_t> running{0};
@@ -110,13 +119,8 @@
 {
     wire::ChannelHandlers handlers;
     handlers.received = [this](const wire::Peer &peer, const wire::Frame &frame) {
-        boost::asio::post(gateway.loop, [this, name = peer.name, body = frame.body] {
-            if (!limits.receive(name, body, monotonicNow()))
-                metrics
-                    .counter("kumquathaven_entry_frames_malformed_total",
-                             "frames of other entries that were not understood",
-                             {{"channel", "limits"}})
-                    .add();
+        boost::asio::post(gateway.loop, [this, name = peer.name, it = frame] {
+            receive(name, it);
         });
     };
     hub.handle(wire::Channel::Slices, std::move(handlers));
@@ -188,6 +192,7 @@
     limits.tick(now);
     list.tick(now);
     store.tick(now);
+    tellNews(now);
     gateway.isLeaving = isLeaving;
     running = gateway.running;
     isReady = gateway.plan != nullptr && gateway.servers.listedAt != TimePoint{} && !isLeaving;
@@ -198,6 +203,44 @@
     gateway.pool.sweep(startsOf(gateway.servers), now);
 }
 
+/// Takes a message of another entry.
+void GatewayRole::Impl::receive(const std::string &peer, const wire::Frame &frame)
+{
+    const TimePoint now = monotonicNow();
+    const bool isUnderstood = orElse(
+        [&]() -> Result<bool> {
+            if (frame.kind == limitsFrame)
+                return limits.receive(peer, frame.body, now);
+            if (frame.kind != placementsFrame)
+                return false;
+            BOOST_LEAF_AUTO(news, decodePlacements(frame.body, peer));
+            takePlacements(gateway.servers, news, now);
+            return true;
+        },
+        [](const Error &) {
+            return false;
+        });
+    if (!isUnderstood)
+        metrics
+            .counter("kumquathaven_entry_frames_malformed_total",
+                     "frames of other entries that were not understood", {{"channel", "slices"}})
+            .add();
+}
+
+/// Tells the other entries where shared prompts were sent.
+void GatewayRole::Impl::tellNews(TimePoint now)
+{
+    if (now < nextNews || gateway.servers.news.empty())
+        return;
+    const auto others = static_cast<double>(held.instances->entries.size());
+    nextNews = now + std::max(newsInterval, fromSeconds(others / mostNewsMessages));
+    const std::string body = encodePlacements(takeNews(gateway.servers));
+    for (const auto &it : held.instances->entries) {
+        if (it.first != settings.instance)
+            neighbours.send(it.first, {wire::Channel::Slices, placementsFrame, body});
+    }
+}
+
 /// Takes what control told since the last look.
 void GatewayRole::Impl::takeView(TimePoint now)
 {
--- /dev/null
+++ b/lib/gateway/placementnews.cpp
@@ -0,0 +1,104 @@
+#include "placementnews.h"
+
+#include "kumquathaven/wire/cbor.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace kumquathaven::gateway {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t maxTold = 256;
+constexpr std::size_t maxParts = 64;
+constexpr std::uint64_t maxPartTokens = 10'000'000;
+
+json toJson(const PlacedPrompt &it)
+{
+    json parts = json::array();
+    for (const deployment::PromptPart &part : it.parts)
+        parts.push_back({part.id, part.tokens});
+    return {it.start, it.customer, it.model, it.version, it.isSaved, std::move(parts)};
+}
+
+bool readPart(const json &value, deployment::PromptPart &part)
+{
+    const bool isPart = value.is_array() && value.size() == 2 && value[0].is_string()
+        && value[1].is_number_unsigned() && value[1].get<std::uint64_t>() <= maxPartTokens;
+    if (isPart)
+        part = {value[0].get<std::string>(), value[1].get<std::uint64_t>()};
+    return isPart;
+}
+
+bool readPrompt(const json &value, PlacedPrompt &out)
+{
+    const bool isPrompt = value.is_array() && value.size() == 6 && value[0].is_string()
+        && value[1].is_string() && value[2].is_string() && value[3].is_string()
+        && value[4].is_boolean() && value[5].is_array() && value[5].size() <= maxParts;
+    if (!isPrompt)
+        return false;
+    out.start = value[0].get<std::string>();
+    out.customer = value[1].get<std::string>();
+    out.model = value[2].get<std::string>();
+    out.version = value[3].get<std::string>();
+    out.isSaved = value[4].get<bool>();
+    for (const json &it : value[5]) {
+        deployment::PromptPart part;
+        if (!readPart(it, part))
+            return false;
+        out.parts.push_back(std::move(part));
+    }
+    return true;
+}
+
+} // namespace
+
+std::vector<PlacedPrompt> takeNews(Servers &servers)
+{
+    const std::size_t n = std::min(servers.news.size(), maxTold);
+    const auto end = servers.news.begin() + static_cast<std::ptrdiff_t>(n);
+    std::vector<PlacedPrompt> news(servers.news.begin(), end);
+    servers.news.erase(servers.news.begin(), end);
+    return news;
+}
+
+void takePlacements(Servers &servers, const std::vector<PlacedPrompt> &news, TimePoint now)
+{
+    for (const PlacedPrompt &it : news)
+        notePlaced(servers, it, now);
+}
+
+std::string encodePlacements(const std::vector<PlacedPrompt> &news)
+{
+    json list = json::array();
+    for (const PlacedPrompt &it : news)
+        list.push_back(toJson(it));
+    return wire::toCbor(list);
+}
+
+Result<std::vector<PlacedPrompt>> decodePlacements(std::string_view bytes, const std::string &peer)
+{
+    BOOST_LEAF_AUTO(value, wire::fromCbor(bytes, "gateway.placements", peer));
+    std::vector<PlacedPrompt> news;
+    bool isWellFormed = value.is_array() && value.size() <= maxTold;
+    if (isWellFormed) {
+        for (const json &it : value) {
+            PlacedPrompt prompt;
+            isWellFormed = isWellFormed && readPrompt(it, prompt);
+            news.push_back(std::move(prompt));
+        }
+    }
+    if (!isWellFormed)
+        return fail({ErrorCode::InvalidRequest,
+                     "gateway.placements",
+                     peer,
+                     "not a list of placed prompts",
+                     Outcome::NotRun,
+                     {}});
+    return Result<std::vector<PlacedPrompt>>(std::move(news));
+}
+
+} // namespace kumquathaven::gateway
--- a/lib/gateway/servers.cpp
+++ b/lib/gateway/servers.cpp
@@ -26,12 +26,18 @@
 /// A shared part counts as kept by the store for this long after it was sent there.
 constexpr Duration storedFor = std::chrono::seconds(60);
 constexpr std::size_t maxStored = 20'000;
+/// Prompts that wait to be told to the other instances.
+constexpr std::size_t maxNews = 1'000;
 /// Parts of the time that new weights have to be in place: for which old ones are as good, and after
 /// which nothing is sent to them, since a request may still wait there. In between this wait for new
 /// ones is worth it.
 constexpr double freeOldPart = 0.2;
 constexpr double lastOldPart = 0.6;
 constexpr Duration waitForNew = std::chrono::milliseconds(300);
+/// Servers that a large shared part may be placed on before it goes wherever the wait is least, and
+/// the part of the objective by which the first event may come later there.
+constexpr std::size_t mostPlaces = 3;
+constexpr double placePatience = 0.5;
 /// Versions that are remembered of each model; older ones are out of use.
 constexpr std::size_t maxNamed = 64;
 
@@ -291,25 +297,87 @@
     return out;
 }
 
+/// Where a prompt is placed, so that instances choose alike without talking.
+struct Placement
+{
+    /// Names the shared part; empty if it is too small to matter.
+    std::string key;
+    /// Time by which the first event may come later there than elsewhere.
+    Duration patience{0};
+};
+
+/// Chooses a server. A large shared part goes to its first place, as all instances rank them, or to
+/// the next ones where that is too busy: the others would read or fetch what is held there.
+std::optional<routing::Choice> choosePlaced(const Servers &servers, const routing::Request &request,
+                                            const Placement &placement, TimePoint now)
+{
+    const auto best = routing::choose(servers.fleet, request, now);
+    if (!best || placement.key.empty())
+        return best;
+    std::vector<routing::Slot> ranked = request.candidates;
+    const auto rank = [&](routing::Slot it) {
+        return rendezvousRank(placement.key, servers.fleet.upstreams[it].name);
+    };
+    const std::size_t places = std::min(mostPlaces, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(places),
+                      ranked.end(), [&](routing::Slot a, routing::Slot b) {
+                          return rank(a) > rank(b);
+                      });
+    routing::Request one = request;
+    for (std::size_t n = 0; n < places; ++n) {
+        one.candidates = {ranked[n]};
+        auto choice = routing::choose(servers.fleet, one, now);
+        if (!choice || choice->expectedFirstToken > best->expectedFirstToken + placement.patience)
+            continue;
+        choice->reason = routing::ChoiceReason::Placed;
+        return choice;
+    }
+    return best;
+}
+
 /// Chooses between servers with new and with old weights. What runs on old weights is worth less
 /// the longer ago the new ones were named, and nothing in the end.
 std::optional<routing::Choice> chooseVersion(const Servers &servers, const routing::Request &request,
-                                             const std::string &model, TimePoint now)
+                                             const std::string &model, const Placement &placement,
+                                             TimePoint now)
 {
     const auto part = [&servers](double share) {
         return std::chrono::duration_cast<Duration>(servers.weightsTime * share);
     };
     const auto fresh = withWeights(servers, request, model, part(freeOldPart), now);
     const auto usable = withWeights(servers, request, model, part(lastOldPart), now);
-    const auto onNew = routing::choose(servers.fleet, fresh, now);
+    const auto onNew = choosePlaced(servers, fresh, placement, now);
     if (fresh.candidates.size() == usable.candidates.size())
         return onNew;
-    const auto onAny = routing::choose(servers.fleet, usable, now);
+    const auto onAny = choosePlaced(servers, usable, placement, now);
     const bool isWorthWait = onNew && onAny
         && onNew->expectedFirstToken <= onAny->expectedFirstToken + waitForNew;
     return isWorthWait ? onNew : onAny;
 }
 
+/// A shared prompt is in the store, or on its way there.
+void markStored(Servers &servers, std::uint64_t lastBlock, TimePoint now)
+{
+    if (servers.stored.size() >= maxStored)
+        servers.stored.clear();
+    servers.stored[lastBlock] = now;
+}
+
+/// Remembers to tell the others where a shared prompt was sent.
+void addNews(Servers &servers, const PickRequest &request, const Pick &pick)
+{
+    if (servers.news.size() >= maxNews)
+        return;
+    const deployment::CallerHead &head = *request.head;
+    const bool isWalled = request.customer != nullptr && request.customer->isolated;
+    servers.news.push_back({pick.start,
+                            isWalled ? request.customer->name : std::string(),
+                            head.model,
+                            std::to_string(pick.weights.value_or(0)),
+                            {head.prompt.begin(), head.prompt.end() - 1},
+                            pick.savedBlock != 0});
+}
+
 std::optional<Pick> pickEngine(Servers &servers, const PickRequest &request,
                                const std::vector<Candidate> &candidates,
                                const deployment::Service *service, TimePoint now)
@@ -317,7 +385,13 @@
     routing::Request out = routingRequest(servers, request, candidates);
     const deployment::Service *store = storeOf(*request.plan);
     addStore(servers, request, service, store, out, now);
-    const auto choice = chooseVersion(servers, out, request.head->model, now);
+    Placement placement;
+    if (sharedTokensOf(*request.head) >= leastStoredTokens) {
+        placement.key = request.head->prompt.front().id;
+        placement.patience = std::chrono::duration_cast<Duration>(request.route->objective
+                                                                  * placePatience);
+    }
+    const auto choice = chooseVersion(servers, out, request.head->model, placement, now);
     if (!choice)
         return std::nullopt;
     const auto chosen =
@@ -329,7 +403,9 @@
     result.weights = numberOf(choice->weightsVersion);
     result.cacheScope = scopeOf(request.customer, choice->weightsVersion);
     result.expectedFirstToken = choice->expectedFirstToken;
-    result.reason = routing::describe(*choice);
+    result.reason = routing::describe(*choice) + "; weights=" + choice->weightsVersion;
+    if (!request.head->prompt.empty())
+        result.reason += "; prompt=" + request.head->prompt.front().id;
     const std::uint64_t shared = sharedTokensOf(*request.head);
     if (out.store && store != nullptr) {
         const bool isHeld = choice->expectedCachedTokens + blockTokens >= shared;
@@ -342,8 +418,15 @@
         if (!isHeld && !isKept && n > 0) {
             result.saveTo = store->store->address;
             result.savedBlock = static_cast<std::uint64_t>(blocks[n - 1]);
+            // Requests that follow at once do not have it stored again.
+            markStored(servers, result.savedBlock, now);
         }
+        if (!result.fetchFrom.empty() || !result.saveTo.empty())
+            result.reason += std::string("; store=") + (result.fetchFrom.empty() ? "" : "fetch ")
+                + (result.saveTo.empty() ? "" : "save");
     }
+    if (shared >= leastStoredTokens)
+        addNews(servers, request, result);
     return result;
 }
 
@@ -437,6 +520,25 @@
     return false;
 }
 
+void notePlaced(Servers &servers, const PlacedPrompt &prompt, TimePoint now)
+{
+    std::vector<routing::NamedPart> parts;
+    for (const deployment::PromptPart &it : prompt.parts)
+        parts.push_back({it.id, static_cast<std::uint32_t>(it.tokens)});
+    const routing::PrefixChain chain({prompt.customer, prompt.model, {}, prompt.version}, parts,
+                                     blockTokens);
+    if (chain.blocks().empty())
+        return;
+    if (prompt.isSaved)
+        markStored(servers, static_cast<std::uint64_t>(chain.blocks().back()), now);
+    const auto server = servers.known.find(prompt.start);
+    if (server == servers.known.end())
+        return;
+    const routing::UpstreamView &view = servers.fleet.upstreams[server->second.slot];
+    for (const routing::BlockHash it : chain.blocks())
+        servers.fleet.index.believe(it, {server->second.slot, view.life, view.run, false, now});
+}
+
 void noteFirstToken(Servers &servers, const Pick &pick, TimePoint now)
 {
     if (servers.known.count(pick.start) == 0)
@@ -444,13 +546,14 @@
     routing::noteFirstToken(servers.fleet, pick.slot, pick.ticket, now);
     if (pick.savedBlock == 0)
         return;
-    if (servers.stored.size() >= maxStored)
-        servers.stored.clear();
-    servers.stored[pick.savedBlock] = now;
+    markStored(servers, pick.savedBlock, now);
 }
 
 void noteEnd(Servers &servers, const Pick &pick, SendEnd end, TimePoint now)
 {
+    // Nothing was read, and so nothing stored.
+    if (pick.savedBlock != 0 && end != SendEnd::Answered)
+        servers.stored.erase(pick.savedBlock);
     const auto it = servers.known.find(pick.start);
     if (it == servers.known.end())
         return;
--- a/lib/gateway/servers.h
+++ b/lib/gateway/servers.h
@@ -34,6 +34,20 @@
     std::uint32_t running = 0;
 };
 
+/// The shared part of a prompt on its way to a server.
+struct PlacedPrompt
+{
+    std::string start;
+    /// Set where the prompt must not be shared with other customers.
+    std::string customer;
+    std::string model;
+    /// Version of the weights.
+    std::string version;
+    std::vector<deployment::PromptPart> parts;
+    /// The store gets it too.
+    bool isSaved = false;
+};
+
 /// All servers that this instance may send to.
 struct Servers
 {
@@ -54,6 +68,8 @@
     bool isStoreReachable = false;
     /// Shared prompts that were sent to the store, by the hash of their last block.
     std::map<std::uint64_t, TimePoint> stored;
+    /// Prompts that this instance sent and has not told the others.
+    std::vector<PlacedPrompt> news;
 };
 
 /// What the choice rests on besides the servers.
@@ -102,6 +118,9 @@
 /// Returns whether pick() would find a server.
 bool canPick(const Servers &servers, const PickRequest &request, TimePoint now);
 
+/// Takes note of a prompt that another instance sent to a server.
+void notePlaced(Servers &servers, const PlacedPrompt &prompt, TimePoint now);
+
 /// How a send ended.
 enum class SendEnd {
     /// The answer came whole, or the server gave an answer of its own.
--- a/lib/gateway/storewatch.cpp
+++ b/lib/gateway/storewatch.cpp
@@ -49,6 +49,7 @@
         std::exchange(m_connection, nullptr)->close();
         m_isConnecting = false;
         m_nextTry = now + retryInterval;
+        setReachable(false);
     }
     if (!m_connection && now >= m_nextTry)
         connect(m_address, now);
@@ -69,9 +70,11 @@
             }
             m_connection->setProbes(silenceLimit);
             http::ConnectionEvents events;
-            events.ended = [this](http::ConnectionEnd) {
+            events.ended = [this](http::ConnectionEnd end) {
                 m_connection.reset();
-                setReachable(false);
+                // A store closes idle connections in order; one that failed may come back empty.
+                if (end != http::ConnectionEnd::Closed)
+                    setReachable(false);
             };
             m_connection->setEvents(std::move(events));
             m_connection->startReading();
--- a/lib/settings/platform.cpp
+++ b/lib/settings/platform.cpp
@@ -71,6 +71,7 @@
     MapReader reader(node, "platform", problems);
     readSeeds(reader, platform, problems);
     reader.flag("firstStart", platform.isFirstStart);
+    reader.flag("checksFencing", platform.checksFencing);
     reader.integer("lossesTolerated", platform.lossesTolerated, 0, 100);
     const bool isControl = role == Role::Control;
     for (const char *it : {"declarations", "directory"}) {
