--- a/lib/gateway/servers.cpp
+++ b/lib/gateway/servers.cpp
@@ -37,7 +37,7 @@
 /// Servers that a large shared part may be placed on before it goes wherever the wait is least, and
 /// the part of the objective by which the first event may come later there.
 constexpr std::size_t mostPlaces = 3;
-constexpr double placePatience = 0.5;
+constexpr double placePatience = 0.25;
 /// Versions that are remembered of each model; older ones are out of use.
 constexpr std::size_t maxNamed = 64;
 
