--- a/lib/gateway/gatewayrole.cpp
+++ b/lib/gateway/gatewayrole.cpp
@@ -68,6 +68,7 @@
     void tellNews(TimePoint now);
     void announce(catalogue::InstanceState state);
     void answerProbe(runtime::HttpExchange &exchange);
+    void endLoop(bool inAnyCase);
 
     const settings::Settings settings;
     telemetry::Metrics metrics;
@@ -88,6 +89,7 @@
     TimePoint nextNews{};
     std::atomic<bool> isReady{false};
     std::atomic<bool> isLeaving{false};
+    std::atomic<bool> hasEnded{false};
     std::atomic<std::uint32_t> running{0};
     runtime::Supervisor duties;
     runtime::StopSignal stopSignal;
@@ -304,6 +306,21 @@
     }
 }
 
+/// Ends the loop if nothing runs, or in any case. That is decided on the loop itself: a request may
+/// be taken at any moment until then.
+void GatewayRole::Impl::endLoop(bool inAnyCase)
+{
+    boost::asio::post(gateway.loop, [this, inAnyCase] {
+        running = gateway.running;
+        if (gateway.running > 0 && !inAnyCase)
+            return;
+        stopSignal.request();
+        listener.stop();
+        gateway.loop.stop();
+        hasEnded = true;
+    });
+}
+
 void GatewayRole::Impl::drainAndStop()
 {
     const TimePoint begun = monotonicNow();
@@ -314,18 +331,14 @@
                        {{"running", std::to_string(running.load())}});
     const Duration longest = settings.platform->stopGrace - graceMargin;
     const Duration least = std::min(leastLeaving, longest);
-    Duration passed{0};
-    while (passed < longest && (passed < least || running > 0)) {
+    while (!hasEnded) {
         std::this_thread::sleep_for(leavingPoll);
-        passed = monotonicNow() - begun;
+        const Duration passed = monotonicNow() - begun;
+        if (passed >= least)
+            endLoop(passed >= longest);
     }
     telemetry::logLine(telemetry::LogLevel::Info, "gateway", "stopped",
                        {{"running", std::to_string(running.load())}});
-    stopSignal.request();
-    boost::asio::post(gateway.loop, [this] {
-        listener.stop();
-        gateway.loop.stop();
-    });
     if (thread.joinable())
         thread.join();
     probes.stop(Duration(0));
--- a/lib/gateway/servers.cpp
+++ b/lib/gateway/servers.cpp
@@ -403,6 +403,7 @@
     result.weights = numberOf(choice->weightsVersion);
     result.cacheScope = scopeOf(request.customer, choice->weightsVersion);
     result.expectedFirstToken = choice->expectedFirstToken;
+    result.blocks = out.chains[choice->chain].blocks();
     result.reason = routing::describe(*choice) + "; weights=" + choice->weightsVersion;
     if (!request.head->prompt.empty())
         result.reason += "; prompt=" + request.head->prompt.front().id;
@@ -558,6 +559,12 @@
     if (it == servers.known.end())
         return;
     it->second.running -= std::min(1U, it->second.running);
+    const bool wasNotRead =
+        end == SendEnd::Refused || end == SendEnd::Misdirected || end == SendEnd::NotConnected;
+    for (const routing::BlockHash block : pick.blocks) {
+        if (wasNotRead)
+            servers.fleet.index.disbelieve(block, pick.slot);
+    }
     switch (end) {
     case SendEnd::Answered:
     case SendEnd::Misdirected:
--- a/lib/gateway/servers.h
+++ b/lib/gateway/servers.h
@@ -100,6 +100,8 @@
     std::string saveTo;
     /// Block that stands for the shared prompt in the store; zero if nothing is saved.
     std::uint64_t savedBlock = 0;
+    /// Blocks of the prompt that the server will hold once the request has begun there.
+    std::vector<routing::BlockHash> blocks;
     Duration expectedFirstToken{0};
     /// For logs: why this server.
     std::string reason;
--- a/unittests/catalogue/jsontest.cpp
+++ b/unittests/catalogue/jsontest.cpp
@@ -55,8 +55,8 @@
     const std::pair<const char *, const char *> rows[] = {
         {R"([])", "catalogue: must be an object"},
         {R"({"customer": []})",
-         "catalogue: field \"customer\" is not known; allowed are customers, keys, revision, "
-         "routes, upstreams"},
+         "catalogue: field \"customer\" is not known; allowed are controlLinks, customers, "
+         "declaration, keys, revision, routes, serverWeights, upstreams, weights"},
         {R"({"customers": {}})", "catalogue: field \"customers\" must be a list of at most 20000"},
         {R"({"customers": [{"name": "x"}]})", "customer \"x\": field \"owner\" is missing"},
         {R"({"customers": [{"owner": "t"}]})", "customer: field \"name\" is missing"},
--- a/unittests/consensus/cluster.cpp
+++ b/unittests/consensus/cluster.cpp
@@ -13,8 +13,11 @@
 constexpr std::int64_t maxStepMicroseconds = 10000;
 constexpr std::uint64_t firstIndex = 1;
 
+/// A member that is silent for this long is removed from a group that governs itself.
+constexpr SelfGovernance governance{3, std::chrono::milliseconds(400)};
+
 GroupSettings settingsOf(const std::string &name, const std::vector<std::string> &names,
-                         std::uint64_t seed)
+                         std::uint64_t seed, bool isSelfGoverned)
 {
     GroupSettings settings;
     settings.instance = name;
@@ -31,6 +34,7 @@
     settings.replica.snapshotEntries = 12;
     settings.replica.trailingEntries = 4;
     settings.replica.promotionLag = 2;
+    settings.replica.isSelfGoverned = isSelfGoverned;
     return settings;
 }
 
@@ -67,8 +71,9 @@
     takenSnapshots += other.takenSnapshots;
 }
 
-Cluster::Cluster(std::uint64_t seed)
+Cluster::Cluster(std::uint64_t seed, bool isSelfGoverned)
     : m_random(seed)
+    , m_isSelfGoverned(isSelfGoverned)
 { }
 
 Cluster::~Cluster() = default;
@@ -138,7 +143,9 @@
                 folder, storage::DataFolder::open(node.files.operations(), "/data", node.identity));
             node.folder = std::make_unique<storage::DataFolder>(std::move(folder));
             BOOST_LEAF_AUTO(group,
-                            Group::open(*node.folder, settingsOf(node.name, names, m_random.next()),
+                            Group::open(*node.folder,
+                                        settingsOf(node.name, names, m_random.next(),
+                                                   m_isSelfGoverned),
                                         timeAt(node)));
             node.group = std::make_unique<Group>(std::move(group));
             return std::string();
@@ -310,10 +317,12 @@
         if (it->name != m_unwanted)
             wanted.push_back(it->name);
         // An operator names the storage of a member that was removed before.
-        if (!m_committed.contains(it->id()) && it->isUp() && chance(100))
+        if (!m_isSelfGoverned && !m_committed.contains(it->id()) && it->isUp() && chance(100))
             node.joining.push_back(it->id());
     }
-    auto step = nextMembershipStep(node.group->replica(), wanted, node.joining, timeAt(node));
+    auto step = m_isSelfGoverned
+        ? nextSelfGovernedStep(node.group->replica(), governance, node.joining, timeAt(node))
+        : nextMembershipStep(node.group->replica(), wanted, node.joining, timeAt(node));
     const Configuration &present = node.group->replica().configuration();
     for (const MemberId &it : present.voters) {
         if (!step && it.instance == m_unwanted)
--- a/unittests/consensus/cluster.h
+++ b/unittests/consensus/cluster.h
@@ -84,7 +84,8 @@
 class Cluster
 {
 public:
-    explicit Cluster(std::uint64_t seed);
+    /// A group that governs itself changes its members without an operator.
+    explicit Cluster(std::uint64_t seed, bool isSelfGoverned = false);
     ~Cluster();
     Cluster(const Cluster &) = delete;
     Cluster &operator=(const Cluster &) = delete;
@@ -140,6 +141,7 @@
     void violate(const std::string &what);
 
     Random m_random;
+    const bool m_isSelfGoverned;
     Coverage m_coverage;
     std::string m_violation;
     std::vector<std::unique_ptr<Node>> m_nodes;
--- a/unittests/consensus/interleavingtest.cpp
+++ b/unittests/consensus/interleavingtest.cpp
@@ -45,11 +45,12 @@
 };
 
 /// Runs every schedule whose seed leaves \p worker as remainder.
-Findings runSchedules(std::uint64_t first, std::uint64_t count, std::uint64_t worker)
+Findings runSchedules(std::uint64_t first, std::uint64_t count, std::uint64_t worker,
+                      bool isSelfGoverned)
 {
     Findings findings;
     for (std::uint64_t seed = first + worker; seed < first + count; seed += workerCount) {
-        Cluster cluster(seed);
+        Cluster cluster(seed, isSelfGoverned);
         const std::string violation = cluster.run();
         findings.coverage.add(cluster.coverage());
         if (violation.empty())
@@ -60,21 +61,36 @@
     return findings;
 }
 
-} // namespace
-
-TEST_CASE("interleavings keep the invariants and are linearizable")
+Coverage checkSchedules(bool isSelfGoverned)
 {
     const std::uint64_t count = fromEnvironment("KUMQUATHAVEN_SCHEDULES", defaultSchedules);
     const std::uint64_t first = fromEnvironment("KUMQUATHAVEN_SEED", 1);
     std::vector<std::future<Findings>> workers;
     for (std::uint64_t n = 0; n < workerCount; ++n)
-        workers.push_back(std::async(std::launch::async, runSchedules, first, count, n));
+        workers.push_back(
+            std::async(std::launch::async, runSchedules, first, count, n, isSelfGoverned));
     Coverage coverage;
     for (auto &it : workers) {
         const Findings findings = it.get();
         coverage.add(findings.coverage);
         CHECK_MESSAGE(findings.violation.empty(), findings.violation);
     }
+    return coverage;
+}
+
+} // namespace
+
+TEST_CASE("interleavings of a group that governs itself lose nothing and bring every member back")
+{
+    const Coverage coverage = checkSchedules(true);
+    CHECK(coverage.memberSteps > 0);
+    CHECK(coverage.lostDisks > 0);
+}
+
+TEST_CASE("interleavings keep the invariants and are linearizable")
+{
+    const std::uint64_t count = fromEnvironment("KUMQUATHAVEN_SCHEDULES", defaultSchedules);
+    const Coverage coverage = checkSchedules(false);
     MESSAGE(count << " schedules: " << coverage.leaders << " leaders, " << coverage.writes
                   << " writes, " << coverage.unknownWrites << " unknown, " << coverage.reads
                   << " quorum or queued reads, " << coverage.leaseReads << " lease reads, "
--- a/unittests/deployment/rollouttest.cpp
+++ b/unittests/deployment/rollouttest.cpp
@@ -0,0 +1,186 @@
+#include "kumquathaven/deployment/rollout.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace kumquathaven;
+using namespace kumquathaven::deployment;
+using std::chrono::milliseconds;
+
+namespace {
+
+const std::string model = "m";
+
+/// A few servers that carry out orders as they say.
+struct Servers
+{
+    explicit Servers(std::size_t n, std::uint64_t version)
+    {
+        for (std::size_t i = 0; i < n; ++i) {
+            ListedServer it;
+            it.id = "s" + std::to_string(i);
+            it.weights[model] = version;
+            listed.push_back(it);
+        }
+    }
+
+    /// Takes a step's records into the catalogue and answers its calls.
+    void follow(Rollout &rollout, const RolloutStep &step, const RolloutTimes &times, TimePoint now)
+    {
+        for (const catalogue::ServerWeights &it : step.records)
+            catalogue.serverWeights[it.server + "/" + it.model] = it;
+        for (const RolloutCall &it : step.calls) {
+            const std::string start = startOf(it.server);
+            RolloutAnswer answer{start, it.kind, std::nullopt, std::nullopt};
+            if (it.kind == RolloutCall::Kind::Report) {
+                EngineReport report;
+                report.orders = orders[start];
+                report.weights[model] = versions.count(start) ? versions[start]
+                                                              : it.server.weights.at(model);
+                answer.report = report;
+            } else {
+                ++ordersSent;
+                const bool isExpected = it.expectedOrders == orders[start];
+                answer.order = isExpected ? OrderAnswer::Accepted : OrderAnswer::Busy;
+                if (losesOrders)
+                    answer.order.reset();
+                else if (isExpected) {
+                    ++orders[start];
+                    versions[start] = it.version;
+                }
+            }
+            take(rollout, answer, times, now);
+        }
+    }
+
+    std::size_t loading() const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(catalogue.serverWeights.begin(), catalogue.serverWeights.end(),
+                          [](const auto &it) {
+                              return it.second.isLoading;
+                          }));
+    }
+
+    std::vector<ListedServer> listed;
+    catalogue::Catalogue catalogue;
+    std::map<std::string, std::uint64_t> orders;
+    std::map<std::string, std::uint64_t> versions;
+    std::size_t ordersSent = 0;
+    bool losesOrders = false;
+};
+
+TimePoint at(int ms)
+{
+    return TimePoint(std::chrono::hours(1)) + milliseconds(ms);
+}
+
+} // namespace
+
+TEST_CASE("all servers reach a new version, a part of them at a time")
+{
+    Servers servers(9, 1);
+    servers.catalogue.weights[model] = 2;
+    Rollout rollout;
+    const RolloutTimes times;
+    std::size_t mostLoading = 0;
+    int ms = 0;
+    for (; ms < 10000; ms += 50) {
+        const RolloutStep step = nextStep(rollout, servers.listed, servers.catalogue, times, at(ms));
+        servers.follow(rollout, step, times, at(ms));
+        mostLoading = std::max(mostLoading, servers.loading());
+        if (servers.versions.size() == 9 && servers.loading() == 0)
+            break;
+    }
+    CHECK(servers.versions.size() == 9);
+    CHECK(servers.ordersSent == 9);
+    CHECK(mostLoading == loadingAtOnce(9));
+    CHECK(ms < 6000);
+}
+
+TEST_CASE("an order goes out only after entries were told that the server loads")
+{
+    Servers servers(3, 1);
+    servers.catalogue.weights[model] = 2;
+    Rollout rollout;
+    const RolloutTimes times;
+    RolloutStep step = nextStep(rollout, servers.listed, servers.catalogue, times, at(0));
+    REQUIRE(step.records.size() == 1);
+    CHECK(step.records[0].isLoading);
+    REQUIRE(step.calls.size() == 1);
+    CHECK(step.calls[0].kind == RolloutCall::Kind::Report);
+    servers.follow(rollout, step, times, at(1));
+    step = nextStep(rollout, servers.listed, servers.catalogue, times, at(50));
+    CHECK(step.calls.empty());
+    step = nextStep(rollout, servers.listed, servers.catalogue, times, at(110));
+    REQUIRE(step.calls.size() == 1);
+    CHECK(step.calls[0].kind == RolloutCall::Kind::Order);
+    CHECK(step.calls[0].expectedOrders == 0U);
+}
+
+TEST_CASE("the oldest weights go first")
+{
+    Servers servers(6, 2);
+    servers.listed[4].weights[model] = 1;
+    servers.listed[5].weights[model] = 1;
+    servers.catalogue.weights[model] = 3;
+    Rollout rollout;
+    const RolloutStep step =
+        nextStep(rollout, servers.listed, servers.catalogue, RolloutTimes(), at(0));
+    REQUIRE(step.records.size() == 2);
+    CHECK(step.records[0].server == startOf(servers.listed[4]));
+    CHECK(step.records[1].server == startOf(servers.listed[5]));
+}
+
+TEST_CASE("an order that got lost is sent again, and names the orders accepted so far")
+{
+    Servers servers(1, 1);
+    servers.catalogue.weights[model] = 2;
+    servers.losesOrders = true;
+    Rollout rollout;
+    const RolloutTimes times;
+    for (int ms = 0; ms < 2000; ms += 50)
+        servers.follow(rollout,
+                       nextStep(rollout, servers.listed, servers.catalogue, times, at(ms)), times,
+                       at(ms));
+    CHECK(servers.ordersSent >= 2);
+    servers.losesOrders = false;
+    for (int ms = 2000; ms < 4000; ms += 50)
+        servers.follow(rollout,
+                       nextStep(rollout, servers.listed, servers.catalogue, times, at(ms)), times,
+                       at(ms));
+    CHECK(servers.versions.size() == 1);
+}
+
+TEST_CASE("a silent server is given back and left alone for a while")
+{
+    Servers servers(1, 1);
+    servers.catalogue.weights[model] = 2;
+    Rollout rollout;
+    const RolloutTimes times;
+    bool wasGivenBack = false;
+    std::size_t begun = 0;
+    for (int ms = 0; ms < 6500; ms += 50) {
+        const RolloutStep step = nextStep(rollout, servers.listed, servers.catalogue, times, at(ms));
+        for (const catalogue::ServerWeights &it : step.records) {
+            begun += it.isLoading ? 1 : 0;
+            wasGivenBack = wasGivenBack || !it.isLoading;
+        }
+        for (const RolloutCall &it : step.calls)
+            take(rollout, {startOf(it.server), it.kind, std::nullopt, std::nullopt}, times, at(ms));
+    }
+    CHECK(wasGivenBack);
+    CHECK(begun == 1);
+}
+
+TEST_CASE("servers that are gone are forgotten")
+{
+    Servers servers(1, 1);
+    servers.catalogue.serverWeights["old@1/m"] = {"old@1", model, 1, true};
+    Rollout rollout;
+    const RolloutStep step =
+        nextStep(rollout, servers.listed, servers.catalogue, RolloutTimes(), at(0));
+    REQUIRE(step.gone.size() == 1);
+    CHECK(step.gone[0] == "old@1");
+}
