--- a/include/kumquathaven/catalogue/change.h
+++ b/include/kumquathaven/catalogue/change.h
@@ -108,8 +108,8 @@
 };
 
 using ChangeBody = std::variant<PutEntries, RemoveEntry, GrantKey, WithdrawKey, DrainInstance,
-                                AnnounceInstance, DepartInstance, HintInstance,
-                                Declare, NameWeights, NoteServerWeights, NoteControlLinks>;
+                                AnnounceInstance, DepartInstance, HintInstance, Declare,
+                                NameWeights, NoteServerWeights, NoteControlLinks>;
 
 /// One change.
 struct Change
--- a/include/kumquathaven/http/connection.h
+++ b/include/kumquathaven/http/connection.h
@@ -43,8 +43,8 @@
     Connection(const Connection &) = delete;
     Connection &operator=(const Connection &) = delete;
 
-    /// Begins to connect to an address; \p done is told whether that succeeded. A connection that is
-    /// closed before tells nothing.
+    /// Begins to connect to an address; \p done is told whether that succeeded. A connection that
+    /// is closed before tells nothing.
     static std::shared_ptr<Connection> connect(boost::asio::io_context &loop,
                                                const settings::Address &address,
                                                std::function<void(bool)> done);
--- a/include/kumquathaven/limits/shares.h
+++ b/include/kumquathaven/limits/shares.h
@@ -32,8 +32,8 @@
     Duration reportLife = std::chrono::seconds(3);
     /// An account holds at most this part of its share of the burst.
     double burstPart = 0.6;
-    /// An account may fall below zero by what its share refills in this time, so that a request that
-    /// is larger than the share of the burst can run.
+    /// An account may fall below zero by what its share refills in this time, so that a request
+    /// that is larger than the share of the burst can run.
     Duration debtTime = std::chrono::seconds(1);
 };
 
--- a/lib/catalogue/changejson.cpp
+++ b/lib/catalogue/changejson.cpp
@@ -88,10 +88,7 @@
         value["incarnation"] = body.incarnation;
         value["leaving"] = body.leaving;
     }
-    void operator()(const Declare &body) const
-    {
-        value["declaration"] = toJson(body.declaration);
-    }
+    void operator()(const Declare &body) const { value["declaration"] = toJson(body.declaration); }
     void operator()(const NameWeights &body) const
     {
         value["model"] = body.model;
--- a/lib/catalogue/declarationjson.cpp
+++ b/lib/catalogue/declarationjson.cpp
@@ -28,10 +28,12 @@
     Fields fields(value, "declaration");
     fields.number("version", declaration.version, std::uint64_t{1});
     const nlohmann::json *text = fields.find("text", Presence::Required);
-    if (text && text->is_string() && text->get_ref<const std::string &>().size() <= maxDeclarationBytes)
+    if (text && text->is_string()
+        && text->get_ref<const std::string &>().size() <= maxDeclarationBytes)
         declaration.text = std::make_shared<const std::string>(text->get<std::string>());
     else
-        fields.reject("text", "must be a text of at most " + std::to_string(maxDeclarationBytes) + " bytes");
+        fields.reject(
+            "text", "must be a text of at most " + std::to_string(maxDeclarationBytes) + " bytes");
     BOOST_LEAF_CHECK(fields.finish());
     return declaration;
 }
--- a/lib/catalogue/state.cpp
+++ b/lib/catalogue/state.cpp
@@ -150,9 +150,9 @@
         const Declaration &present = m_state.catalogue.declaration;
         const bool isSameVersion = body.declaration.version == present.version;
         if (isSameVersion && present.text && *body.declaration.text != *present.text)
-            return fail(refusal(ErrorCode::Conflict,
-                                "another declaration has version "
-                                    + std::to_string(present.version)));
+            return fail(
+                refusal(ErrorCode::Conflict,
+                        "another declaration has version " + std::to_string(present.version)));
         if (body.declaration.version <= present.version)
             return {};
         Catalogue next = m_state.catalogue;
@@ -176,8 +176,8 @@
         for (const ServerWeights &it : body.servers)
             servers[it.server + "/" + it.model] = it;
         for (auto it = servers.begin(); it != servers.end();) {
-            const bool isGone = std::find(body.gone.begin(), body.gone.end(), it->second.server)
-                != body.gone.end();
+            const bool isGone =
+                std::find(body.gone.begin(), body.gone.end(), it->second.server) != body.gone.end();
             it = isGone ? servers.erase(it) : std::next(it);
         }
         ++m_state.catalogue.revision;
--- a/lib/control/declarations.cpp
+++ b/lib/control/declarations.cpp
@@ -73,7 +73,8 @@
 
     Result<HttpReply> operator()(const deployment::NameWeightsCall &call) const
     {
-        BOOST_LEAF_CHECK(propose(context, {{}, {}, catalogue::NameWeights{call.model, call.version}}));
+        BOOST_LEAF_CHECK(
+            propose(context, {{}, {}, catalogue::NameWeights{call.model, call.version}}));
         telemetry::logLine(telemetry::LogLevel::Info, "declarations", "weights named",
                            {{"model", call.model}, {"version", std::to_string(call.version)}});
         return context.dialect.control.acknowledge();
@@ -84,8 +85,12 @@
         BOOST_LEAF_CHECK(confirmNewest(context));
         const catalogue::Declaration held = context.machine.published().catalogue->declaration;
         if (!held.text)
-            return fail({ErrorCode::Unavailable, "declarations.read", {}, "there is none yet",
-                         Outcome::NotRun, {}});
+            return fail({ErrorCode::Unavailable,
+                         "declarations.read",
+                         {},
+                         "there is none yet",
+                         Outcome::NotRun,
+                         {}});
         return context.dialect.control.tellDeclaration(*held.text);
     }
 };
@@ -146,8 +151,12 @@
             const auto entries =
                 entriesFor(*context.machine.published().instances, call, maxEntries);
             if (entries.empty())
-                return fail({ErrorCode::Unavailable, "directory.find", {}, "no entry serves",
-                             Outcome::NotRun, {}});
+                return fail({ErrorCode::Unavailable,
+                             "directory.find",
+                             {},
+                             "no entry serves",
+                             Outcome::NotRun,
+                             {}});
             const Duration ttl = std::min(entriesTtl, context.settings.platform->maxEntriesTtl);
             return context.dialect.control.tellEntries(entries, ttl);
         },
--- a/lib/control/declarations.h
+++ b/lib/control/declarations.h
@@ -32,8 +32,8 @@
 /// Answers one caller that asks which entries to use, from what this member holds.
 void handleDirectory(const DeclarationsContext &context, runtime::HttpExchange &exchange);
 
-/// Returns the addresses for callers of the entries that serve: those in the caller's failure domain
-/// first, at most \p most.
+/// Returns the addresses for callers of the entries that serve: those in the caller's failure
+/// domain first, at most \p most.
 std::vector<std::string> entriesFor(const catalogue::Instances &instances,
                                     const deployment::DirectoryCall &call, std::size_t most);
 
--- a/lib/control/weightsduty.cpp
+++ b/lib/control/weightsduty.cpp
@@ -89,9 +89,10 @@
             std::vector<deployment::ListedServer> servers;
             std::string page;
             for (std::size_t n = 0; n < maxListPages; ++n) {
-                BOOST_LEAF_AUTO(reply, runtime::fetch(m_settings.platform->serverList, "GET",
-                                                      m_dialect.servers.listPath(page), {}, {},
-                                                      callTimeouts(), maxAnswerBytes));
+                BOOST_LEAF_AUTO(reply,
+                                runtime::fetch(m_settings.platform->serverList, "GET",
+                                               m_dialect.servers.listPath(page), {}, {},
+                                               callTimeouts(), maxAnswerBytes));
                 if (reply.status != 200)
                     return fail({ErrorCode::Unavailable,
                                  "weights.list",
@@ -158,9 +159,9 @@
                 // The call may have waited in the ring for longer than this member led.
                 if (!mayOrder(monotonicNow()) || m_log.status().standing.term != call.term)
                     return answer;
-                request = m_dialect.servers.order({it.model, it.version, m_settings.instance,
-                                                   call.term, it.expectedOrders},
-                                                  it.server.id);
+                request = m_dialect.servers.order(
+                    {it.model, it.version, m_settings.instance, call.term, it.expectedOrders},
+                    it.server.id);
             }
             BOOST_LEAF_AUTO(reply,
                             runtime::fetch(it.server.address, request.method, request.path,
@@ -180,12 +181,11 @@
             return answer;
         },
         [&](const Error &error) {
-            telemetry::logLine(telemetry::LogLevel::Warn, "weights", "call to a server failed",
-                               {{"server", it.server.id},
-                                {"kind", it.kind == deployment::RolloutCall::Kind::Order
-                                     ? "order"
-                                     : "report"},
-                                {"reason", describe(error)}});
+            telemetry::logLine(
+                telemetry::LogLevel::Warn, "weights", "call to a server failed",
+                {{"server", it.server.id},
+                 {"kind", it.kind == deployment::RolloutCall::Kind::Order ? "order" : "report"},
+                 {"reason", describe(error)}});
             return answer;
         });
 }
--- a/lib/deployment/plan.cpp
+++ b/lib/deployment/plan.cpp
@@ -45,7 +45,8 @@
     }
     std::set<std::string> keys;
     for (const Customer &customer : plan.customers) {
-        for (const std::string &key : std::set<std::string>(customer.keys.begin(), customer.keys.end())) {
+        for (const std::string &key :
+             std::set<std::string>(customer.keys.begin(), customer.keys.end())) {
             if (!keys.insert(key).second)
                 return "a key of customer \"" + customer.name + "\" is another customer's too";
         }
--- a/lib/deployment/rollout.cpp
+++ b/lib/deployment/rollout.cpp
@@ -118,10 +118,10 @@
             }
         }
         // The oldest weights go first: they are the first that may not be used any more.
-        std::stable_sort(behind.begin(), behind.end(),
-                         [&](const ListedServer *a, const ListedServer *b) {
-                             return weightsOf(catalogue, *a, model) < weightsOf(catalogue, *b, model);
-                         });
+        std::stable_sort(
+            behind.begin(), behind.end(), [&](const ListedServer *a, const ListedServer *b) {
+                return weightsOf(catalogue, *a, model) < weightsOf(catalogue, *b, model);
+            });
         const std::size_t most = loadingAtOnce(holders);
         for (const ListedServer *it : behind) {
             if (loading++ >= most)
@@ -154,15 +154,15 @@
         if (answer.report && !it.isOrdered)
             it.dueAt = std::min(it.dueAt, it.begunAt + times.noticeTime);
         // Reports lag, so that only a later one shows that the order was lost.
-        if (it.isOrdered && now - it.orderedAt > times.orderPatience && answer.report && !answer.report->isBusy
-            && versionIn(answer.report->weights, it.model) < it.version)
+        if (it.isOrdered && now - it.orderedAt > times.orderPatience && answer.report
+            && !answer.report->isBusy && versionIn(answer.report->weights, it.model) < it.version)
             it.isOrdered = false;
         return;
     }
     const bool isRefused = answer.order
         && (*answer.order == OrderAnswer::Busy || *answer.order == OrderAnswer::Refused);
-    // What was reported before the order says nothing of it. If it was refused, another one is under
-    // way or the count of orders has moved on.
+    // What was reported before the order says nothing of it. If it was refused, another one is
+    // under way or the count of orders has moved on.
     it.report.reset();
     if (isRefused)
         it.isOrdered = false;
--- a/lib/entry/fleetanswers.cpp
+++ b/lib/entry/fleetanswers.cpp
@@ -43,8 +43,8 @@
 } // namespace
 
 FleetAnswers::FleetAnswers(std::string ownName, std::uint64_t incarnation, wire::Hub &hub,
-                           feed::Neighbours &neighbours, const catalogue::View &view, JoinTable &joins,
-                           telemetry::Metrics &metrics)
+                           feed::Neighbours &neighbours, const catalogue::View &view,
+                           JoinTable &joins, telemetry::Metrics &metrics)
     : m_name(std::move(ownName))
     , m_neighbours(neighbours)
     , m_view(view)
--- a/lib/entry/fleetanswers.h
+++ b/lib/entry/fleetanswers.h
@@ -7,10 +7,10 @@
 #include "kumquathaven/answers/fetchedanswer.h"
 #include "kumquathaven/base/ring.h"
 #include "kumquathaven/catalogue/view.h"
+#include "kumquathaven/feed/neighbours.h"
 #include "kumquathaven/runtime/stopsignal.h"
 #include "kumquathaven/telemetry/metrics.h"
 #include "kumquathaven/wire/hub.h"
-#include "kumquathaven/feed/neighbours.h"
 #include "offeredanswers.h"
 
 #include <atomic>
--- a/lib/entry/fleetlimits.h
+++ b/lib/entry/fleetlimits.h
@@ -6,12 +6,12 @@
 #include "kumquathaven/base/error.h"
 #include "kumquathaven/base/ring.h"
 #include "kumquathaven/catalogue/view.h"
+#include "kumquathaven/feed/neighbours.h"
 #include "kumquathaven/limits/node.h"
 #include "kumquathaven/runtime/stopsignal.h"
 #include "kumquathaven/settings/settings.h"
 #include "kumquathaven/telemetry/metrics.h"
 #include "kumquathaven/wire/hub.h"
-#include "kumquathaven/feed/neighbours.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -44,7 +44,8 @@
 public:
     /// Sets the handlers of its channel: make it before \p hub starts.
     FleetLimits(const settings::Settings &settings, std::uint64_t incarnation, wire::Hub &hub,
-                feed::Neighbours &neighbours, const catalogue::View &view, telemetry::Metrics &metrics);
+                feed::Neighbours &neighbours, const catalogue::View &view,
+                telemetry::Metrics &metrics);
     FleetLimits(const FleetLimits &) = delete;
     FleetLimits &operator=(const FleetLimits &) = delete;
 
--- a/lib/gateway/callerconnection.cpp
+++ b/lib/gateway/callerconnection.cpp
@@ -90,8 +90,8 @@
     while (!m_exchange && !m_isOver && !m_waiting.empty()) {
         const TimePoint now = monotonicNow();
         if (!m_parser) {
-            m_parser =
-                std::make_unique<http::MessageParser>(http::MessageSide::Request, boundsOf(m_gateway));
+            m_parser = std::make_unique<http::MessageParser>(http::MessageSide::Request,
+                                                             boundsOf(m_gateway));
             m_body.clear();
             m_hasContinued = false;
             m_waitsSince = now;
@@ -138,12 +138,8 @@
     m_gateway.counters.malformed.add();
     m_keepsAlive = false;
     m_isHead = false;
-    Error error{codeOf(state),
-                "gateway.read",
-                {},
-                "the request can not be read",
-                Outcome::NotRun,
-                {}};
+    Error error{
+        codeOf(state), "gateway.read", {}, "the request can not be read", Outcome::NotRun, {}};
     runtime::HttpReply answer = m_gateway.dialect.requests.refuse(error);
     if (state == http::ParseState::HeadTooLarge)
         answer.status = statusHeadTooLarge;
@@ -263,9 +259,13 @@
     } else if (!m_parser->hasHead() ? now - m_waitsSince > limits.headerTimeout
                                     : now - m_bodyAt > bodySilence) {
         m_keepsAlive = false;
-        runtime::HttpReply answer = m_gateway.dialect.requests.refuse(
-            {ErrorCode::Overloaded, "gateway.read", {}, "the request did not arrive in time",
-             Outcome::NotRun, {}});
+        runtime::HttpReply answer =
+            m_gateway.dialect.requests.refuse({ErrorCode::Overloaded,
+                                               "gateway.read",
+                                               {},
+                                               "the request did not arrive in time",
+                                               Outcome::NotRun,
+                                               {}});
         answer.status = statusRequestTimeout;
         reply(answer);
     }
--- a/lib/gateway/exchange.cpp
+++ b/lib/gateway/exchange.cpp
@@ -71,8 +71,8 @@
 {
     m_plan = m_gateway.plan;
     if (!m_plan)
-        return fail(refusal(ErrorCode::Unavailable, "no configuration is known yet",
-                            unknownPlanRetry));
+        return fail(
+            refusal(ErrorCode::Unavailable, "no configuration is known yet", unknownPlanRetry));
     BOOST_LEAF_ASSIGN(m_callerHead, m_gateway.dialect.requests.readHead(m_head.fields));
     m_route = m_plan->index.findRoute(runtime::headerValue(m_head.fields, "Host"), pathOf(m_head));
     if (m_route == nullptr)
@@ -115,8 +115,12 @@
     }
     const std::string server = m_pick ? m_pick->serverId : std::string();
     endSend(SendEnd::Abandoned);
-    refuse({ErrorCode::DeadlineExceeded, "gateway.deadline", server,
-            "no answer within the time limit", m_outcome, {}});
+    refuse({ErrorCode::DeadlineExceeded,
+            "gateway.deadline",
+            server,
+            "no answer within the time limit",
+            m_outcome,
+            {}});
 }
 
 void Exchange::callerLeft()
@@ -136,7 +140,8 @@
                  {{"reason", std::string(errorCodeName(error.code))},
                   {"status", std::to_string(reply.status)}})
         .add();
-    const std::string what = "refused with " + std::to_string(reply.status) + ", " + describe(error);
+    const std::string what =
+        "refused with " + std::to_string(reply.status) + ", " + describe(error);
     close(what.c_str());
     if (caller)
         caller->reply(reply);
@@ -154,15 +159,16 @@
         m_gateway.limits.giveBack(*m_customer, m_tokens, now);
     if (m_isHeadSent || m_outcome != Outcome::NotRun)
         m_gateway.counters.wholeAnswer.observe(toSeconds(now - m_arrivedAt));
-    telemetry::logLine(telemetry::LogLevel::Info, "request", what,
-                       {{"id", m_callerHead.requestId},
-                        {"route", m_route != nullptr ? m_route->name : std::string()},
-                        {"customer", m_customer != nullptr ? m_customer->name : std::string()},
-                        {"outcome", std::string(outcomeName(m_outcome))},
-                        {"ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
-                                                  now - m_arrivedAt)
-                                                  .count())},
-                        {"sends", m_story}});
+    telemetry::logLine(
+        telemetry::LogLevel::Info, "request", what,
+        {{"id", m_callerHead.requestId},
+         {"route", m_route != nullptr ? m_route->name : std::string()},
+         {"customer", m_customer != nullptr ? m_customer->name : std::string()},
+         {"outcome", std::string(outcomeName(m_outcome))},
+         {"ms",
+          std::to_string(
+              std::chrono::duration_cast<std::chrono::milliseconds>(now - m_arrivedAt).count())},
+         {"sends", m_story}});
 }
 
 } // namespace kumquathaven::gateway
--- a/lib/gateway/exchangeanswer.cpp
+++ b/lib/gateway/exchangeanswer.cpp
@@ -49,8 +49,8 @@
 
 void Exchange::takeNotRun(const deployment::AnswerHead &answer)
 {
-    const bool isOther = answer.isOtherServer && !answer.serverId.empty()
-        && answer.serverId != m_pick->serverId;
+    const bool isOther =
+        answer.isOtherServer && !answer.serverId.empty() && answer.serverId != m_pick->serverId;
     m_story += isOther ? ", another server" : ", not run";
     if (isOther)
         noteMoved(m_gateway.servers, *m_pick);
@@ -64,8 +64,12 @@
         takeFailure(CallFailure::Cut);
         return;
     }
-    refuse({ErrorCode::Overloaded, "gateway.answer", {}, "the server takes no request now",
-            m_outcome, serverFullRetry});
+    refuse({ErrorCode::Overloaded,
+            "gateway.answer",
+            {},
+            "the server takes no request now",
+            m_outcome,
+            serverFullRetry});
 }
 
 void Exchange::takeBody(std::string_view bytes)
@@ -148,8 +152,7 @@
         send();
         return;
     }
-    const SendEnd end =
-        failure == CallFailure::StaleConnection ? SendEnd::Answered : SendEnd::Cut;
+    const SendEnd end = failure == CallFailure::StaleConnection ? SendEnd::Answered : SendEnd::Cut;
     m_events.takeRest();
     m_heldBody.clear();
     if (!m_isHeadSent)
@@ -161,7 +164,11 @@
     }
     endSend(end);
     if (!m_isHeadSent) {
-        refuse({ErrorCode::UpstreamFailed, "gateway.answer", {}, "the server broke off", m_outcome,
+        refuse({ErrorCode::UpstreamFailed,
+                "gateway.answer",
+                {},
+                "the server broke off",
+                m_outcome,
                 {}});
         return;
     }
--- a/lib/gateway/exchangesend.cpp
+++ b/lib/gateway/exchangesend.cpp
@@ -22,11 +22,7 @@
 
 Error busy(Outcome outcome)
 {
-    return {ErrorCode::NoUpstream,
-            "gateway.send",
-            {},
-            "no server takes the request now",
-            outcome,
+    return {ErrorCode::NoUpstream, "gateway.send", {}, "no server takes the request now", outcome,
             serversBusyRetry};
 }
 
@@ -154,7 +150,8 @@
 {
     if (!mayRepeat() || m_isHeadSent)
         return;
-    const Duration byObjective = std::chrono::duration_cast<Duration>(m_route->objective * movePart);
+    const Duration byObjective =
+        std::chrono::duration_cast<Duration>(m_route->objective * movePart);
     const Duration byServer =
         std::chrono::duration_cast<Duration>(m_pick->expectedFirstToken * moveFactor) + leastMove;
     m_moveTimer.expires_after(std::max({byObjective, byServer, leastMove}));
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -9,8 +9,8 @@
                                   "callers that left before their answer was whole"))
     , resumed(metrics.counter("kumquathaven_streams_resumed_total",
                               "streams that another server went on with"))
-    , repeated(metrics.counter("kumquathaven_repeats_total",
-                               "sends of requests beyond their first"))
+    , repeated(
+          metrics.counter("kumquathaven_repeats_total", "sends of requests beyond their first"))
     , cut(metrics.counter("kumquathaven_answers_cut_total",
                           "answers that were begun and could not be finished"))
     , malformed(metrics.counter("kumquathaven_requests_malformed_total",
--- a/lib/gateway/gatewayrole.cpp
+++ b/lib/gateway/gatewayrole.cpp
@@ -113,9 +113,10 @@
            })
     , store(gateway)
     , listener(gateway)
-    , probes({probeThreads}, [this](runtime::HttpExchange &it) {
-        answerProbe(it);
-    })
+    , probes({probeThreads},
+             [this](runtime::HttpExchange &it) {
+                 answerProbe(it);
+             })
     , timer(gateway.loop)
     , duties("gateway", runtime::RestartPolicy{0})
 {
@@ -258,8 +259,8 @@
     if (snapshot.instances != held.instances) {
         neighbours.keep(*snapshot.instances);
         limits.keep(*snapshot.instances);
-        gateway.retryRules.instances =
-            static_cast<std::uint32_t>(std::max<std::size_t>(1, snapshot.instances->entries.size()));
+        gateway.retryRules.instances = static_cast<std::uint32_t>(
+            std::max<std::size_t>(1, snapshot.instances->entries.size()));
         gateway.servers.fleet.entries = gateway.retryRules.instances;
     }
     held = snapshot;
@@ -268,8 +269,8 @@
     if (isNewPlan) {
         orElse(
             [&]() -> Result<void> {
-                BOOST_LEAF_AUTO(plan, gateway.dialect.control.readPlan(
-                                          *snapshot.catalogue->declaration.text));
+                BOOST_LEAF_AUTO(
+                    plan, gateway.dialect.control.readPlan(*snapshot.catalogue->declaration.text));
                 gateway.plan = std::make_shared<const PlanInForce>(std::move(plan));
                 telemetry::logLine(telemetry::LogLevel::Info, "gateway", "declaration in force",
                                    {{"version", std::to_string(version)},
@@ -296,7 +297,8 @@
 {
     const std::string &path = exchange.request().path;
     if (path == gateway.dialect.requests.readinessPath) {
-        exchange.reply({isReady ? 200 : 503, "text/plain", {}, isReady ? "ready\n" : "not ready\n"});
+        exchange.reply(
+            {isReady ? 200 : 503, "text/plain", {}, isReady ? "ready\n" : "not ready\n"});
     } else if (path == "/metrics") {
         exchange.reply({200, "text/plain; version=0.0.4", {}, metrics.exposition()});
     } else if (path == "/healthz") {
--- a/lib/gateway/listener.cpp
+++ b/lib/gateway/listener.cpp
@@ -15,7 +15,8 @@
 std::size_t connectionsFor(const settings::Settings &settings)
 {
     const std::size_t descriptors = settings.platform->maxDescriptors;
-    return std::max<std::size_t>(descriptors / 2, descriptors - std::min(descriptors, reservedDescriptors));
+    return std::max<std::size_t>(descriptors / 2,
+                                 descriptors - std::min(descriptors, reservedDescriptors));
 }
 
 } // namespace
@@ -43,8 +44,12 @@
     if (!ec)
         m_acceptor.non_blocking(true, ec);
     if (ec)
-        return fail({ErrorCode::Unavailable, "gateway.listen", settings::toString(address),
-                     ec.message(), Outcome::NotRun, {}});
+        return fail({ErrorCode::Unavailable,
+                     "gateway.listen",
+                     settings::toString(address),
+                     ec.message(),
+                     Outcome::NotRun,
+                     {}});
     waitForCaller();
     return {};
 }
--- a/lib/gateway/placementnews.h
+++ b/lib/gateway/placementnews.h
@@ -1,8 +1,8 @@
 // What instances tell each other of shared prompts: which server they sent one to, and whether the
 // store gets it too.
 //
-// Answers the load of one shared prompt at many instances. Each of them would otherwise have it read
-// by another server and stored once more.
+// Answers the load of one shared prompt at many instances. Each of them would otherwise have it
+// read by another server and stored once more.
 
 #ifndef KUMQUATHAVEN_LIB_GATEWAY_PLACEMENTNEWS_H
 #define KUMQUATHAVEN_LIB_GATEWAY_PLACEMENTNEWS_H
@@ -25,8 +25,7 @@
 
 /// News as CBOR, and back. The error is InvalidRequest and names \p peer.
 std::string encodePlacements(const std::vector<PlacedPrompt> &news);
-Result<std::vector<PlacedPrompt>> decodePlacements(std::string_view bytes,
-                                                   const std::string &peer);
+Result<std::vector<PlacedPrompt>> decodePlacements(std::string_view bytes, const std::string &peer);
 
 } // namespace kumquathaven::gateway
 
--- a/lib/gateway/serverlist.cpp
+++ b/lib/gateway/serverlist.cpp
@@ -69,9 +69,8 @@
     request.address = m_gateway.settings.platform->serverList;
     request.start = connectionName;
     request.mayReuse = true;
-    request.bytes = http::requestHead(
-        "GET", m_gateway.dialect.servers.listPath(m_page),
-        {{"Host", settings::toString(request.address)}});
+    request.bytes = http::requestHead("GET", m_gateway.dialect.servers.listPath(m_page),
+                                      {{"Host", settings::toString(request.address)}});
     CallEvents events;
     events.head = [this](const http::Head &head, const deployment::AnswerHead &) {
         m_status = head.status;
@@ -138,7 +137,8 @@
 void ServerListReader::failed(const std::string &reason)
 {
     m_nextAt = monotonicNow() + std::max(retryInterval, interval() / 2);
-    m_gateway.metrics.counter("kumquathaven_list_failures_total", "readings of the list that failed")
+    m_gateway.metrics
+        .counter("kumquathaven_list_failures_total", "readings of the list that failed")
         .add();
     if (!std::exchange(m_isFailing, true))
         telemetry::logLine(telemetry::LogLevel::Warn, "list", "the list was not read",
--- a/lib/gateway/servers.cpp
+++ b/lib/gateway/servers.cpp
@@ -28,9 +28,9 @@
 constexpr std::size_t maxStored = 20'000;
 /// Prompts that wait to be told to the other instances.
 constexpr std::size_t maxNews = 1'000;
-/// Parts of the time that new weights have to be in place: for which old ones are as good, and after
-/// which nothing is sent to them, since a request may still wait there. In between this wait for new
-/// ones is worth it.
+/// Parts of the time that new weights have to be in place: for which old ones are as good, and
+/// after which nothing is sent to them, since a request may still wait there. In between this wait
+/// for new ones is worth it.
 constexpr double freeOldPart = 0.2;
 constexpr double lastOldPart = 0.6;
 constexpr Duration waitForNew = std::chrono::milliseconds(300);
@@ -57,8 +57,8 @@
 }
 
 /// Returns the version that a server has of a model, as far as is known.
-std::uint64_t versionOf(const Servers &servers, const KnownServer &server,
-                        const std::string &start, const std::string &model)
+std::uint64_t versionOf(const Servers &servers, const KnownServer &server, const std::string &start,
+                        const std::string &model)
 {
     std::uint64_t version = 0;
     const auto listed = server.listed.weights.find(model);
@@ -196,15 +196,16 @@
         return (it.server->running + 1) / slots * std::max(1.0, view.health.slowness);
     };
     const std::string &id = request.head->requestId;
-    return *std::min_element(
-        candidates.begin(), candidates.end(), [&](const Candidate &a, const Candidate &b) {
-            const double left = cost(a);
-            const double right = cost(b);
-            // Ties are broken anew for each request, so that instances do not all begin alike.
-            if (left != right)
-                return left < right;
-            return rendezvousRank(id, *a.start) > rendezvousRank(id, *b.start);
-        });
+    return *std::min_element(candidates.begin(), candidates.end(),
+                             [&](const Candidate &a, const Candidate &b) {
+                                 const double left = cost(a);
+                                 const double right = cost(b);
+                                 // Ties are broken anew for each request, so that instances do not
+                                 // all begin alike.
+                                 if (left != right)
+                                     return left < right;
+                                 return rendezvousRank(id, *a.start) > rendezvousRank(id, *b.start);
+                             });
 }
 
 Pick pickOf(const Candidate &candidate, const deployment::Service *service)
@@ -230,23 +231,22 @@
 {
     routing::Request out;
     out.repeatable = deployment::isRepeatable(*request.route);
-    out.priority =
-        std::min<std::size_t>(request.route->priority, routing::priorityCount - 1);
+    out.priority = std::min<std::size_t>(request.route->priority, routing::priorityCount - 1);
     out.deadline = request.deadline;
     const std::vector<routing::NamedPart> parts = partsOf(*request.head);
     for (const Candidate &it : candidates) {
         const routing::UpstreamView &view = servers.fleet.upstreams[it.server->slot];
         out.candidates.push_back(it.server->slot);
         if (!routing::chainFor(out, view))
-            out.chains.emplace_back(prefixScopeOf(request, view.weightsVersion), parts, blockTokens);
+            out.chains.emplace_back(prefixScopeOf(request, view.weightsVersion), parts,
+                                    blockTokens);
     }
     return out;
 }
 
 /// Adds what the store is believed to keep of the prompt.
-void addStore(const Servers &servers, const PickRequest &request,
-              const deployment::Service *engine, const deployment::Service *store,
-              routing::Request &out, TimePoint now)
+void addStore(const Servers &servers, const PickRequest &request, const deployment::Service *engine,
+              const deployment::Service *store, routing::Request &out, TimePoint now)
 {
     const std::uint64_t shared = sharedTokensOf(*request.head);
     const bool isOfUse = store != nullptr && servers.isStoreReachable && engine != nullptr
@@ -255,7 +255,8 @@
         return;
     routing::StoreView view;
     for (const routing::PrefixChain &chain : out.chains) {
-        const std::size_t blocks = std::min<std::size_t>(shared / blockTokens, chain.blocks().size());
+        const std::size_t blocks =
+            std::min<std::size_t>(shared / blockTokens, chain.blocks().size());
         const auto last = blocks == 0 ? 0 : static_cast<std::uint64_t>(chain.blocks()[blocks - 1]);
         const auto kept = servers.stored.find(last);
         const bool isKept = kept != servers.stored.end() && now - kept->second < storedFor;
@@ -337,7 +338,8 @@
 
 /// Chooses between servers with new and with old weights. What runs on old weights is worth less
 /// the longer ago the new ones were named, and nothing in the end.
-std::optional<routing::Choice> chooseVersion(const Servers &servers, const routing::Request &request,
+std::optional<routing::Choice> chooseVersion(const Servers &servers,
+                                             const routing::Request &request,
                                              const std::string &model, const Placement &placement,
                                              TimePoint now)
 {
@@ -350,8 +352,8 @@
     if (fresh.candidates.size() == usable.candidates.size())
         return onNew;
     const auto onAny = choosePlaced(servers, usable, placement, now);
-    const bool isWorthWait = onNew && onAny
-        && onNew->expectedFirstToken <= onAny->expectedFirstToken + waitForNew;
+    const bool isWorthWait =
+        onNew && onAny && onNew->expectedFirstToken <= onAny->expectedFirstToken + waitForNew;
     return isWorthWait ? onNew : onAny;
 }
 
@@ -388,8 +390,8 @@
     Placement placement;
     if (sharedTokensOf(*request.head) >= leastStoredTokens) {
         placement.key = request.head->prompt.front().id;
-        placement.patience = std::chrono::duration_cast<Duration>(request.route->objective
-                                                                  * placePatience);
+        placement.patience =
+            std::chrono::duration_cast<Duration>(request.route->objective * placePatience);
     }
     const auto choice = chooseVersion(servers, out, request.head->model, placement, now);
     if (!choice)
@@ -411,7 +413,8 @@
     if (out.store && store != nullptr) {
         const bool isHeld = choice->expectedCachedTokens + blockTokens >= shared;
         const bool isKept = out.store->storedTokens[choice->chain] > 0;
-        // Another instance may have had it stored; a fetch of what is not there takes a millisecond.
+        // Another instance may have had it stored; a fetch of what is not there takes a
+        // millisecond.
         if (!isHeld)
             result.fetchFrom = store->store->address;
         const auto &blocks = out.chains[choice->chain].blocks();
@@ -437,10 +440,10 @@
 {
     const Candidate &chosen = leastBusy(servers, candidates, request);
     Pick result = pickOf(chosen, service);
-    const routing::PrefixChain nothing(routing::PrefixScope{},
-                                       std::vector<routing::NamedPart>{}, blockTokens);
-    result.ticket = routing::noteSent(servers.fleet, result.slot, nothing, 1,
-                                      request.route->objective, now);
+    const routing::PrefixChain nothing(routing::PrefixScope{}, std::vector<routing::NamedPart>{},
+                                       blockTokens);
+    result.ticket =
+        routing::noteSent(servers.fleet, result.slot, nothing, 1, request.route->objective, now);
     result.reason = "leastBusy; running=" + std::to_string(chosen.server->running);
     return result;
 }
--- a/lib/gateway/storewatch.cpp
+++ b/lib/gateway/storewatch.cpp
@@ -59,27 +59,28 @@
 {
     m_triedAt = now;
     m_isConnecting = true;
-    m_connection = http::Connection::connect(
-        m_gateway.loop, settings::parseAddress(address), [this](bool isConnected) {
-            m_isConnecting = false;
-            if (!isConnected) {
-                m_connection.reset();
-                m_nextTry = monotonicNow() + retryInterval;
-                setReachable(false);
-                return;
-            }
-            m_connection->setProbes(silenceLimit);
-            http::ConnectionEvents events;
-            events.ended = [this](http::ConnectionEnd end) {
-                m_connection.reset();
-                // A store closes idle connections in order; one that failed may come back empty.
-                if (end != http::ConnectionEnd::Closed)
-                    setReachable(false);
-            };
-            m_connection->setEvents(std::move(events));
-            m_connection->startReading();
-            setReachable(true);
-        });
+    m_connection = http::Connection::connect(m_gateway.loop, settings::parseAddress(address),
+                                             [this](bool isConnected) {
+                                                 m_isConnecting = false;
+                                                 if (!isConnected) {
+                                                     m_connection.reset();
+                                                     m_nextTry = monotonicNow() + retryInterval;
+                                                     setReachable(false);
+                                                     return;
+                                                 }
+                                                 m_connection->setProbes(silenceLimit);
+                                                 http::ConnectionEvents events;
+                                                 events.ended = [this](http::ConnectionEnd end) {
+                                                     m_connection.reset();
+                                                     // A store closes idle connections in order;
+                                                     // one that failed may come back empty.
+                                                     if (end != http::ConnectionEnd::Closed)
+                                                         setReachable(false);
+                                                 };
+                                                 m_connection->setEvents(std::move(events));
+                                                 m_connection->startReading();
+                                                 setReachable(true);
+                                             });
 }
 
 void StoreWatch::setReachable(bool isReachable)
--- a/lib/gateway/tokenlimits.h
+++ b/lib/gateway/tokenlimits.h
@@ -19,7 +19,8 @@
 class TokenLimits
 {
 public:
-    /// \p send carries a message to another instance; one that gets lost is followed by a newer one.
+    /// \p send carries a message to another instance; one that gets lost is followed by a newer
+    /// one.
     TokenLimits(std::string instance,
                 std::function<void(const std::string &, const std::string &)> send);
 
--- a/lib/gateway/upstreamcall.cpp
+++ b/lib/gateway/upstreamcall.cpp
@@ -104,8 +104,8 @@
                 return;
             // An answer to another request, or an interim one: the next one may follow at once.
             waiting = m_parser->takeRest();
-            m_parser = std::make_unique<http::MessageParser>(http::MessageSide::Answer,
-                                                             answerBounds());
+            m_parser =
+                std::make_unique<http::MessageParser>(http::MessageSide::Answer, answerBounds());
             if (m_request.isHead)
                 m_parser->expectNoBody();
             if (waiting.empty())
@@ -124,8 +124,8 @@
     }
 }
 
-/// Tells the head of the answer, unless it is an interim one or for another request. Returns whether
-/// it is the one that is waited for.
+/// Tells the head of the answer, unless it is an interim one or for another request. Returns
+/// whether it is the one that is waited for.
 bool UpstreamCall::takeHead()
 {
     const http::Head &head = m_parser->head();
--- a/lib/http/connection.cpp
+++ b/lib/http/connection.cpp
@@ -91,12 +91,11 @@
 void Connection::waitReadable()
 {
     m_isWaitingToRead = true;
-    m_socket.async_wait(tcp::socket::wait_read,
-                        [self = shared_from_this()](const error_code &ec) {
-                            self->m_isWaitingToRead = false;
-                            if (!ec && self->m_isOpen && self->m_reads)
-                                self->readAvailable();
-                        });
+    m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code &ec) {
+        self->m_isWaitingToRead = false;
+        if (!ec && self->m_isOpen && self->m_reads)
+            self->readAvailable();
+    });
 }
 
 void Connection::readAvailable()
@@ -167,16 +166,15 @@
 void Connection::waitWritable()
 {
     m_isWaitingToWrite = true;
-    m_socket.async_wait(tcp::socket::wait_write,
-                        [self = shared_from_this()](const error_code &ec) {
-                            self->m_isWaitingToWrite = false;
-                            if (ec || !self->m_isOpen)
-                                return;
-                            self->writeQueue();
-                            const auto drained = self->m_events.drained;
-                            if (self->m_isOpen && self->m_queued == 0 && drained)
-                                drained();
-                        });
+    m_socket.async_wait(tcp::socket::wait_write, [self = shared_from_this()](const error_code &ec) {
+        self->m_isWaitingToWrite = false;
+        if (ec || !self->m_isOpen)
+            return;
+        self->writeQueue();
+        const auto drained = self->m_events.drained;
+        if (self->m_isOpen && self->m_queued == 0 && drained)
+            drained();
+    });
 }
 
 void Connection::end(ConnectionEnd how)
@@ -221,16 +219,16 @@
 
 void Connection::setSilenceLimit(Duration time)
 {
-    const auto ms = static_cast<unsigned>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+    const auto ms =
+        static_cast<unsigned>(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
     setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
 }
 
 void Connection::setProbes(Duration time)
 {
     constexpr int probes = 2;
-    const int seconds = static_cast<int>(
-        std::max<std::int64_t>(1, std::chrono::duration_cast<std::chrono::seconds>(time).count() / probes));
+    const int seconds = static_cast<int>(std::max<std::int64_t>(
+        1, std::chrono::duration_cast<std::chrono::seconds>(time).count() / probes));
     const int on = 1;
     const int handle = m_socket.native_handle();
     setsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
--- a/lib/http/message.cpp
+++ b/lib/http/message.cpp
@@ -61,8 +61,8 @@
             ec = beast::http::error::header_limit;
             return;
         }
-        const bool isOtherCoding = name == beast::http::field::transfer_encoding
-            && !beast::iequals(value, "chunked");
+        const bool isOtherCoding =
+            name == beast::http::field::transfer_encoding && !beast::iequals(value, "chunked");
         if (isOtherCoding) {
             ec = beast::http::error::bad_transfer_encoding;
             return;
--- a/unittests/consensus/cluster.cpp
+++ b/unittests/consensus/cluster.cpp
@@ -142,11 +142,11 @@
             BOOST_LEAF_AUTO(
                 folder, storage::DataFolder::open(node.files.operations(), "/data", node.identity));
             node.folder = std::make_unique<storage::DataFolder>(std::move(folder));
-            BOOST_LEAF_AUTO(group,
-                            Group::open(*node.folder,
-                                        settingsOf(node.name, names, m_random.next(),
-                                                   m_isSelfGoverned),
-                                        timeAt(node)));
+            BOOST_LEAF_AUTO(
+                group,
+                Group::open(*node.folder,
+                            settingsOf(node.name, names, m_random.next(), m_isSelfGoverned),
+                            timeAt(node)));
             node.group = std::make_unique<Group>(std::move(group));
             return std::string();
         },
--- a/unittests/deployment/rollouttest.cpp
+++ b/unittests/deployment/rollouttest.cpp
@@ -36,8 +36,8 @@
             if (it.kind == RolloutCall::Kind::Report) {
                 EngineReport report;
                 report.orders = orders[start];
-                report.weights[model] = versions.count(start) ? versions[start]
-                                                              : it.server.weights.at(model);
+                report.weights[model] =
+                    versions.count(start) ? versions[start] : it.server.weights.at(model);
                 answer.report = report;
             } else {
                 ++ordersSent;
@@ -56,11 +56,10 @@
 
     std::size_t loading() const
     {
-        return static_cast<std::size_t>(
-            std::count_if(catalogue.serverWeights.begin(), catalogue.serverWeights.end(),
-                          [](const auto &it) {
-                              return it.second.isLoading;
-                          }));
+        return static_cast<std::size_t>(std::count_if(
+            catalogue.serverWeights.begin(), catalogue.serverWeights.end(), [](const auto &it) {
+                return it.second.isLoading;
+            }));
     }
 
     std::vector<ListedServer> listed;
@@ -87,7 +86,8 @@
     std::size_t mostLoading = 0;
     int ms = 0;
     for (; ms < 10000; ms += 50) {
-        const RolloutStep step = nextStep(rollout, servers.listed, servers.catalogue, times, at(ms));
+        const RolloutStep step =
+            nextStep(rollout, servers.listed, servers.catalogue, times, at(ms));
         servers.follow(rollout, step, times, at(ms));
         mostLoading = std::max(mostLoading, servers.loading());
         if (servers.versions.size() == 9 && servers.loading() == 0)
@@ -141,15 +141,13 @@
     Rollout rollout;
     const RolloutTimes times;
     for (int ms = 0; ms < 2000; ms += 50)
-        servers.follow(rollout,
-                       nextStep(rollout, servers.listed, servers.catalogue, times, at(ms)), times,
-                       at(ms));
+        servers.follow(rollout, nextStep(rollout, servers.listed, servers.catalogue, times, at(ms)),
+                       times, at(ms));
     CHECK(servers.ordersSent >= 2);
     servers.losesOrders = false;
     for (int ms = 2000; ms < 4000; ms += 50)
-        servers.follow(rollout,
-                       nextStep(rollout, servers.listed, servers.catalogue, times, at(ms)), times,
-                       at(ms));
+        servers.follow(rollout, nextStep(rollout, servers.listed, servers.catalogue, times, at(ms)),
+                       times, at(ms));
     CHECK(servers.versions.size() == 1);
 }
 
@@ -162,7 +160,8 @@
     bool wasGivenBack = false;
     std::size_t begun = 0;
     for (int ms = 0; ms < 6500; ms += 50) {
-        const RolloutStep step = nextStep(rollout, servers.listed, servers.catalogue, times, at(ms));
+        const RolloutStep step =
+            nextStep(rollout, servers.listed, servers.catalogue, times, at(ms));
         for (const catalogue::ServerWeights &it : step.records) {
             begun += it.isLoading ? 1 : 0;
             wasGivenBack = wasGivenBack || !it.isLoading;
--- a/unittests/gateway/eventcuttertest.cpp
+++ b/unittests/gateway/eventcuttertest.cpp
@@ -9,7 +9,8 @@
     EventCutter cutter;
     CHECK(cutter.feed("id: 1\ndata: a\n").empty());
     CHECK_FALSE(cutter.hasEvents());
-    CHECK(cutter.feed("\nid: 2\r\ndata: b\r\n\r\nid: 3\nda") == "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n");
+    CHECK(cutter.feed("\nid: 2\r\ndata: b\r\n\r\nid: 3\nda")
+          == "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n");
     CHECK(cutter.lastId() == "2");
     CHECK(cutter.takeRest() == "id: 3\nda");
     CHECK(cutter.feed("id: 3\ndata: c\n\n") == "id: 3\ndata: c\n\n");
--- a/unittests/http/messagetest.cpp
+++ b/unittests/http/messagetest.cpp
@@ -20,7 +20,8 @@
 
 TEST_CASE("a request arrives byte by byte")
 {
-    const std::string bytes = "POST /a/b?c=d HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabcGET";
+    const std::string bytes =
+        "POST /a/b?c=d HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabcGET";
     MessageParser parser(MessageSide::Request);
     std::string body;
     std::size_t n = 0;
@@ -61,8 +62,8 @@
 TEST_CASE("bounds of head and body")
 {
     std::string body;
-    CHECK(parse(MessageSide::Request, "GET / HTTP/1.1\r\nA: " + std::string(20000, 'x') + "\r\n\r\n",
-                body)
+    CHECK(parse(MessageSide::Request,
+                "GET / HTTP/1.1\r\nA: " + std::string(20000, 'x') + "\r\n\r\n", body)
           == ParseState::HeadTooLarge);
     CHECK(parse(MessageSide::Request, "POST / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n", body)
           == ParseState::BodyTooLarge);
@@ -90,7 +91,8 @@
     CHECK(body == "abc");
 
     MessageParser counted(MessageSide::Answer);
-    CHECK(counted.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", body) == ParseState::Open);
+    CHECK(counted.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", body)
+          == ParseState::Open);
     CHECK(counted.finish() == ParseState::Malformed);
 
     MessageParser chunked(MessageSide::Answer);
--- a/unittests/limits/sharestest.cpp
+++ b/unittests/limits/sharestest.cpp
@@ -104,8 +104,8 @@
     CHECK(static_cast<double>(played.refused) < 0.02 * static_cast<double>(played.asked));
 }
 
-/// What the users allow over all instances in a window of 8 s: a tenth more than rate and burst, and a
-/// slack for what instances have not told each other yet.
+/// What the users allow over all instances in a window of 8 s: a tenth more than rate and burst,
+/// and a slack for what instances have not told each other yet.
 constexpr double allowedExcess = 1.1;
 constexpr double allowedSlack = 190000;
 
@@ -113,8 +113,7 @@
 {
     Deployment deployment(8);
     const Played played = play(deployment, 4 * bucket.rate, std::chrono::seconds(60), 8);
-    CHECK(played.mostInWindow
-          <= allowedExcess * (8 * bucket.rate + bucket.burst) + allowedSlack);
+    CHECK(played.mostInWindow <= allowedExcess * (8 * bucket.rate + bucket.burst) + allowedSlack);
     CHECK(static_cast<double>(played.spent) > 0.95 * 60 * bucket.rate);
 }
 
--- a/unittests/platform/plantest.cpp
+++ b/unittests/platform/plantest.cpp
@@ -10,20 +10,21 @@
 
 namespace {
 
-const std::string valid = R"({"Version":7,"Routes":[{"Name":"r1","Host":"a.example",)"
-                          R"("PathPrefix":"/x/","Kind":"streaming","TimeoutMs":4000,"GoalMs":500,)"
-                          R"("Priority":0,"Service":"lm","Attempts":2,"Public":false,"Sticky":true,)"
-                          R"("Resumable":true,"GapGoalMs":500},{"Name":"r2","Host":"a.example",)"
-                          R"("PathPrefix":"/y/","Kind":"non_idempotent","TimeoutMs":2000,)"
-                          R"("Backends":[{"Service":"lm","Weight":90},{"Service":"app","Weight":10}]}],)"
-                          R"("Services":[{"Name":"lm","HealthPath":"/h","MaxConns":360,"Engine":)"
-                          R"({"Slots":64,"KvCapacity":157608,"TokenKvBytes":327680,"LinkMbps":5.5e5,)"
-                          R"("MaxInflight":12,"Models":[{"Name":"m"}]}},{"Name":"app"},)"
-                          R"({"Name":"keep","KvStoreAddr":"172.20.0.2:8604","Zone":"z",)"
-                          R"("LinkMbps":500000.0}],"Limits":{"MaxHeaderBytes":16384,)"
-                          R"("MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},)"
-                          R"("Tenants":[{"Name":"t","ApiKeys":["k"],"Priority":1,"PlainTokens":200,)"
-                          R"("Isolated":true,"RatePerS":170525,"Burst":170525}],"New":{"field":1}})";
+const std::string valid =
+    R"({"Version":7,"Routes":[{"Name":"r1","Host":"a.example",)"
+    R"("PathPrefix":"/x/","Kind":"streaming","TimeoutMs":4000,"GoalMs":500,)"
+    R"("Priority":0,"Service":"lm","Attempts":2,"Public":false,"Sticky":true,)"
+    R"("Resumable":true,"GapGoalMs":500},{"Name":"r2","Host":"a.example",)"
+    R"("PathPrefix":"/y/","Kind":"non_idempotent","TimeoutMs":2000,)"
+    R"("Backends":[{"Service":"lm","Weight":90},{"Service":"app","Weight":10}]}],)"
+    R"("Services":[{"Name":"lm","HealthPath":"/h","MaxConns":360,"Engine":)"
+    R"({"Slots":64,"KvCapacity":157608,"TokenKvBytes":327680,"LinkMbps":5.5e5,)"
+    R"("MaxInflight":12,"Models":[{"Name":"m"}]}},{"Name":"app"},)"
+    R"({"Name":"keep","KvStoreAddr":"172.20.0.2:8604","Zone":"z",)"
+    R"("LinkMbps":500000.0}],"Limits":{"MaxHeaderBytes":16384,)"
+    R"("MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},)"
+    R"("Tenants":[{"Name":"t","ApiKeys":["k"],"Priority":1,"PlainTokens":200,)"
+    R"("Isolated":true,"RatePerS":170525,"Burst":170525}],"New":{"field":1}})";
 
 std::string problemOf(const std::string &text)
 {
@@ -126,13 +127,26 @@
 
 TEST_CASE("a caller can not set what only the system may set, nor pass its key on")
 {
-    const std::vector<std::string> fields{
-        "X-Key",          "x-tenant",     "X-Deadline-Ms", "X-Target-Instance", "X-Request-Priority",
-        "X-Cache-Salt",   "X-Kv-Fetch",   "X-Kv-Save",     "X-Kv-Backup",       "Kv-From",
-        "X-Hold",         "X-Pin-Ms",     "Connection",    "Keep-Alive",        "Transfer-Encoding",
-        "Content-Length", "X-Secret-Hop", "X-Expect-Version"};
-    runtime::HeaderFields sent{{"Connection", "close, X-Secret-Hop"}, {"X-Request-Id", "abc"},
-                               {"Accept", "*/*"}};
+    const std::vector<std::string> fields{"X-Key",
+                                          "x-tenant",
+                                          "X-Deadline-Ms",
+                                          "X-Target-Instance",
+                                          "X-Request-Priority",
+                                          "X-Cache-Salt",
+                                          "X-Kv-Fetch",
+                                          "X-Kv-Save",
+                                          "X-Kv-Backup",
+                                          "Kv-From",
+                                          "X-Hold",
+                                          "X-Pin-Ms",
+                                          "Connection",
+                                          "Keep-Alive",
+                                          "Transfer-Encoding",
+                                          "Content-Length",
+                                          "X-Secret-Hop",
+                                          "X-Expect-Version"};
+    runtime::HeaderFields sent{
+        {"Connection", "close, X-Secret-Hop"}, {"X-Request-Id", "abc"}, {"Accept", "*/*"}};
     for (const std::string &it : fields) {
         if (it != "Connection")
             sent.emplace_back(it, "forged");
@@ -177,7 +191,9 @@
 TEST_CASE("a refusal promises no more than is known")
 {
     const auto statusOf = [](ErrorCode code, Outcome outcome) {
-        return requests().refuse({code, "s", {}, "m", outcome, std::chrono::milliseconds(250)}).status;
+        return requests()
+            .refuse({code, "s", {}, "m", outcome, std::chrono::milliseconds(250)})
+            .status;
     };
     CHECK(statusOf(ErrorCode::Overloaded, Outcome::NotRun) == 503);
     CHECK(statusOf(ErrorCode::Overloaded, Outcome::Unknown) == 502);
