Token limits: small customers' large requests may overdraw a part of the slack

Ruled out: the customer's demand over all instances (under its rate).

Change: accounts may go below zero by a part of the slack that the platform allows over all instances.

--- a/lib/gateway/tokenlimits.cpp
+++ b/lib/gateway/tokenlimits.cpp
@@ -15,6 +15,8 @@
 constexpr double mostMessages = 40;
 /// A refused caller comes back no sooner and no later than this.
 constexpr Duration leastRetry = std::chrono::milliseconds(100);
+/// Part of the slack that is planned with; the rest covers what instances have not told each other.
+constexpr double usedSlack = 0.6;
 constexpr Duration mostRetry = std::chrono::seconds(5);
 
 limits::BucketLimits limitsOf(const deployment::Customer &customer)
@@ -26,11 +28,13 @@
 
 } // namespace
 
-TokenLimits::TokenLimits(std::string instance,
+TokenLimits::TokenLimits(std::string instance, double slackTokens,
                          std::function<void(const std::string &, const std::string &)> send)
     : m_instance(std::move(instance))
     , m_send(std::move(send))
-{ }
+{
+    m_shares.config.debtTokens = usedSlack * slackTokens;
+}
 
 void TokenLimits::keep(const catalogue::Instances &instances)
 {
--- a/lib/gateway/tokenlimits.h
+++ b/lib/gateway/tokenlimits.h
@@ -19,9 +19,9 @@
 class TokenLimits
 {
 public:
-    /// \p send carries a message to another instance; one that gets lost is followed by a newer
+    /// \p slackTokens may be had beyond rate and burst, over all instances together. \p send carries a message to another instance; one that gets lost is followed by a newer
     /// one.
-    TokenLimits(std::string instance,
+    TokenLimits(std::string instance, double slackTokens,
                 std::function<void(const std::string &, const std::string &)> send);
 
     /// Takes the instances that serve.
--- a/lib/limits/shares.cpp
+++ b/lib/limits/shares.cpp
@@ -43,7 +43,7 @@
     const double share = shareOf(shares, customer, now);
     const double rate = limits.rate * share;
     return {rate, limits.burst * share * shares.config.burstPart,
-            -rate * toSeconds(shares.config.debtTime)};
+            -rate * toSeconds(shares.config.debtTime) - shares.config.debtTokens * share};
 }
 
 void refill(ShareAccount &account, const OwnLimits &own, TimePoint now)
--- a/lib/settings/platform.cpp
+++ b/lib/settings/platform.cpp
@@ -85,6 +85,7 @@
     readServerList(reader, platform, problems);
     readTimes(reader, platform);
     readRetries(reader, platform, problems);
+    reader.integer("limitSlackTokens", platform.limitSlackTokens, 0, 1000000000);
     reader.integer("memoryMb", platform.memoryMb, 16, 1000000);
     reader.integer("maxDescriptors", platform.maxDescriptors, 256, 10000000);
     reader.finish();
--- a/unittests/limits/sharestest.cpp
+++ b/unittests/limits/sharestest.cpp
@@ -59,7 +59,8 @@
 };
 
 /// Plays requests of 17,000 and 400 tokens that arrive at random instances.
-Played play(Deployment &deployment, double tokensPerSecond, Duration length, std::uint64_t seed)
+Played play(Deployment &deployment, double tokensPerSecond, Duration length, std::uint64_t seed,
+            const BucketLimits &limits = bucket)
 {
     constexpr Duration window = std::chrono::seconds(8);
     Random random(seed);
@@ -78,7 +79,7 @@
             due -= static_cast<double>(tokens);
             played.asked += tokens;
             Shares &shares = deployment.instances[random.below(deployment.instances.size())];
-            if (spend(shares, customer, bucket, tokens, now)) {
+            if (spend(shares, customer, limits, tokens, now)) {
                 played.refused += tokens;
                 continue;
             }
@@ -117,6 +118,19 @@
     CHECK(static_cast<double>(played.spent) > 0.95 * 60 * bucket.rate);
 }
 
+TEST_CASE("a small customer's large requests run although no instance's share is as large")
+{
+    constexpr BucketLimits small{47000, 47000};
+    Deployment deployment(8);
+    for (Shares &it : deployment.instances)
+        it.config.debtTokens = 0.6 * allowedSlack;
+    const Played inside =
+        play(deployment, small.rate / 1.8, std::chrono::seconds(120), 9, small);
+    CHECK(static_cast<double>(inside.refused) < 0.02 * static_cast<double>(inside.asked));
+    const Played above = play(deployment, 4 * small.rate, std::chrono::seconds(60), 10, small);
+    CHECK(above.mostInWindow <= allowedExcess * (8 * small.rate + small.burst) + allowedSlack);
+}
+
 TEST_CASE("the rate follows the demand to the instance that sees it")
 {
     Shares self;
