--- a/include/kumquathaven/consensus/group.h
+++ b/include/kumquathaven/consensus/group.h
@@ -130,6 +130,9 @@
     std::size_t minVoters = 3;
     /// A member that did not answer for this long is taken for gone. It may join again.
     Duration removalSilence = std::chrono::seconds(15);
+    /// The same while the number of voters is even: the silent one then only makes majorities
+    /// larger, for example after another member took its place.
+    Duration evenRemovalSilence = std::chrono::seconds(5);
 };
 
 /// Returns the next membership step of a group that governs itself: as nextMembershipStep() with
--- a/include/kumquathaven/limits/shares.h
+++ b/include/kumquathaven/limits/shares.h
@@ -35,8 +35,8 @@
     /// An account may fall below zero by what its share refills in this time, so that a request
     /// that is larger than the share of the burst can run.
     Duration debtTime = std::chrono::seconds(1);
-    /// Tokens that all instances together may overdraw besides, by their shares. A request of a small
-    /// customer may be larger than what an instance's share refills in seconds.
+    /// Tokens that all instances together may overdraw besides, by their shares. A request of a
+    /// small customer may be larger than what an instance's share refills in seconds.
     double debtTokens = 0;
 };
 
--- a/include/kumquathaven/settings/settings.h
+++ b/include/kumquathaven/settings/settings.h
@@ -114,7 +114,8 @@
     double retryRatio = 0.2;
     std::uint32_t retrySlack = 50;
     Duration retryWindow = std::chrono::seconds(10);
-    /// Tokens that customers may get beyond rate and burst in a window, over all instances together.
+    /// Tokens that customers may get beyond rate and burst in a window, over all instances
+    /// together.
     std::uint32_t limitSlackTokens = 0;
     /// Memory that the process may use.
     std::uint32_t memoryMb = 256;
--- a/lib/consensus/membership.cpp
+++ b/lib/consensus/membership.cpp
@@ -178,8 +178,10 @@
     if (const auto step = nextMembershipStep(replica, wanted, joining, now))
         return step;
     const std::vector<MemberProgress> progress = replica.progress(now);
+    const bool isEven = configuration.voters.size() % 2 == 0;
+    const Duration longest = isEven ? governance.evenRemovalSilence : governance.removalSilence;
     const auto isGone = [&](const MemberProgress &it) {
-        return it.member != replica.self() && it.silence > governance.removalSilence;
+        return it.member != replica.self() && it.silence > longest;
     };
     for (const MemberProgress &it : progress) {
         const bool mayGo = !it.isVoter || configuration.voters.size() > governance.minVoters;
--- a/lib/deployment/rollout.cpp
+++ b/lib/deployment/rollout.cpp
@@ -76,6 +76,65 @@
     return false;
 }
 
+/// A model and the newest version that was named of it.
+struct Target
+{
+    const std::string &model;
+    std::uint64_t version;
+};
+
+/// Begins with a server that is behind.
+void begin(Rollout &rollout, const ListedServer &server, const catalogue::Catalogue &catalogue,
+           const Target &target, RolloutStep &step, const RolloutTimes &times, TimePoint now)
+{
+    const std::string start = startOf(server);
+    ServerRollout &begun = rollout.servers[start];
+    begun.model = target.model;
+    begun.version = target.version;
+    begun.begunAt = now;
+    begun.dueAt = now + times.noticeTime;
+    begun.isCalled = true;
+    step.records.push_back({start, target.model, weightsOf(catalogue, server, target.model), true});
+    step.calls.push_back({RolloutCall::Kind::Report, server, target.model, target.version, {}});
+}
+
+/// Takes the servers of one model a step further.
+void stepModel(Rollout &rollout, const std::vector<ListedServer> &servers,
+               const catalogue::Catalogue &catalogue, const Target &target, RolloutStep &step,
+               const RolloutTimes &times, TimePoint now)
+{
+    std::size_t holders = 0;
+    std::size_t loading = 0;
+    std::vector<const ListedServer *> behind;
+    for (const ListedServer &it : servers) {
+        if (it.weights.count(target.model) == 0)
+            continue;
+        ++holders;
+        const std::string start = startOf(it);
+        const auto begun = rollout.servers.find(start);
+        if (begun != rollout.servers.end() && begun->second.model == target.model) {
+            if (goOn(rollout, begun->second, it, step, times, now))
+                rollout.servers.erase(begun);
+            else
+                ++loading;
+        } else if (!it.isLeaving && weightsOf(catalogue, it, target.model) < target.version
+                   && rollout.paused.count(start) == 0) {
+            behind.push_back(&it);
+        }
+    }
+    // The oldest weights go first: they are the first that may not be used any more.
+    std::stable_sort(
+        behind.begin(), behind.end(), [&](const ListedServer *a, const ListedServer *b) {
+            return weightsOf(catalogue, *a, target.model) < weightsOf(catalogue, *b, target.model);
+        });
+    const std::size_t most = loadingAtOnce(holders);
+    for (const ListedServer *it : behind) {
+        if (loading++ >= most)
+            break;
+        begin(rollout, *it, catalogue, target, step, times, now);
+    }
+}
+
 } // namespace
 
 std::size_t loadingAtOnce(std::size_t servers)
@@ -97,45 +156,8 @@
 {
     RolloutStep step;
     forgetGone(rollout, servers, catalogue, step, now);
-    for (const auto &[model, version] : catalogue.weights) {
-        std::size_t holders = 0;
-        std::size_t loading = 0;
-        std::vector<const ListedServer *> behind;
-        for (const ListedServer &it : servers) {
-            if (it.weights.count(model) == 0)
-                continue;
-            ++holders;
-            const std::string start = startOf(it);
-            const auto begun = rollout.servers.find(start);
-            if (begun != rollout.servers.end() && begun->second.model == model) {
-                if (goOn(rollout, begun->second, it, step, times, now))
-                    rollout.servers.erase(begun);
-                else
-                    ++loading;
-            } else if (!it.isLeaving && weightsOf(catalogue, it, model) < version
-                       && rollout.paused.count(start) == 0) {
-                behind.push_back(&it);
-            }
-        }
-        // The oldest weights go first: they are the first that may not be used any more.
-        std::stable_sort(
-            behind.begin(), behind.end(), [&](const ListedServer *a, const ListedServer *b) {
-                return weightsOf(catalogue, *a, model) < weightsOf(catalogue, *b, model);
-            });
-        const std::size_t most = loadingAtOnce(holders);
-        for (const ListedServer *it : behind) {
-            if (loading++ >= most)
-                break;
-            ServerRollout &begun = rollout.servers[startOf(*it)];
-            begun.model = model;
-            begun.version = version;
-            begun.begunAt = now;
-            begun.dueAt = now + times.noticeTime;
-            begun.isCalled = true;
-            step.records.push_back({startOf(*it), model, weightsOf(catalogue, *it, model), true});
-            step.calls.push_back({RolloutCall::Kind::Report, *it, model, version, std::nullopt});
-        }
-    }
+    for (const auto &it : catalogue.weights)
+        stepModel(rollout, servers, catalogue, {it.first, it.second}, step, times, now);
     return step;
 }
 
--- a/lib/gateway/callerconnection.cpp
+++ b/lib/gateway/callerconnection.cpp
@@ -194,14 +194,22 @@
         m_keepsAlive = false;
     if (!m_keepsAlive || m_gateway.isLeaving)
         fields.emplace_back("Connection", "close");
-    m_connection->write(http::answerHead(head.status, head.reason, fields));
+    // The head leaves with the first bytes of the body.
+    m_out += http::answerHead(head.status, head.reason, fields);
 }
 
 void CallerConnection::sendBody(std::string_view bytes)
 {
     if (m_isOver || m_isHead || bytes.empty())
         return;
-    m_connection->write(m_isChunked ? http::chunk(bytes) : std::string(bytes));
+    m_out += m_isChunked ? http::chunk(bytes) : std::string(bytes);
+    flush();
+}
+
+void CallerConnection::flush()
+{
+    if (!m_out.empty())
+        m_connection->write(std::exchange(m_out, {}));
 }
 
 void CallerConnection::finish()
@@ -209,7 +217,8 @@
     if (m_isOver)
         return;
     if (m_isChunked)
-        m_connection->write(std::string(http::lastChunk));
+        m_out += http::lastChunk;
+    flush();
     endAnswer();
 }
 
--- a/lib/gateway/callerconnection.h
+++ b/lib/gateway/callerconnection.h
@@ -57,6 +57,7 @@
     void answerContinue();
     runtime::HeaderFields framing(std::uint64_t length) const;
     void endAnswer();
+    void flush();
 
     Gateway &m_gateway;
     std::shared_ptr<http::Connection> m_connection;
@@ -64,6 +65,8 @@
     std::string m_body;
     /// Bytes that arrived while a request is being answered.
     std::string m_waiting;
+    /// Parts of an answer that leave together.
+    std::string m_out;
     std::shared_ptr<Exchange> m_exchange;
     /// Since when the present request is being read, or the connection waits for one.
     TimePoint m_waitsSince{};
--- a/lib/gateway/gatewayrole.cpp
+++ b/lib/gateway/gatewayrole.cpp
@@ -313,6 +313,8 @@
 void GatewayRole::Impl::endLoop(bool inAnyCase)
 {
     boost::asio::post(gateway.loop, [this, inAnyCase] {
+        // Callers that still come go to another entry; those that are here are told to close.
+        listener.stopAccepting();
         running = gateway.running;
         if (gateway.running > 0 && !inAnyCase)
             return;
--- a/lib/gateway/listener.cpp
+++ b/lib/gateway/listener.cpp
@@ -88,10 +88,15 @@
         it = (*it)->review(now) ? std::next(it) : m_connections.erase(it);
 }
 
-void Listener::stop()
+void Listener::stopAccepting()
 {
     boost::system::error_code ec;
     m_acceptor.close(ec);
+}
+
+void Listener::stop()
+{
+    stopAccepting();
     for (const auto &it : m_connections)
         it->close();
     m_connections.clear();
--- a/lib/gateway/listener.h
+++ b/lib/gateway/listener.h
@@ -27,6 +27,9 @@
     /// Closes what callers left open, or let wait for too long.
     void review(TimePoint now);
 
+    /// Accepts no more connections.
+    void stopAccepting();
+
     /// Accepts no more connections and closes all.
     void stop();
 
--- a/lib/gateway/tokenlimits.h
+++ b/lib/gateway/tokenlimits.h
@@ -19,8 +19,8 @@
 class TokenLimits
 {
 public:
-    /// \p slackTokens may be had beyond rate and burst, over all instances together. \p send carries a message to another instance; one that gets lost is followed by a newer
-    /// one.
+    /// \p slackTokens may be had beyond rate and burst, over all instances together. \p send
+    /// carries a message to another instance; one that gets lost is followed by a newer one.
     TokenLimits(std::string instance, double slackTokens,
                 std::function<void(const std::string &, const std::string &)> send);
 
--- a/lib/http/message.cpp
+++ b/lib/http/message.cpp
@@ -75,14 +75,13 @@
         hasHead = true;
         head.keepsAlive = this->keep_alive();
         head.endsWithConnection = !isRequest && this->need_eof();
-    }
-
-    void on_body_init_impl(boost::optional<std::uint64_t> const &length, error_code &) override
-    {
-        if (length)
+        // The length counts from the head on, also if no byte of the body is there yet.
+        if (const auto length = this->content_length())
             head.contentLength = *length;
     }
 
+    void on_body_init_impl(boost::optional<std::uint64_t> const &, error_code &) override { }
+
     std::size_t on_body_impl(string_view bytes, error_code &) override { return append(bytes); }
 
     void on_chunk_header_impl(std::uint64_t, string_view, error_code &) override { }
--- a/unittests/consensus/cluster.cpp
+++ b/unittests/consensus/cluster.cpp
@@ -14,7 +14,8 @@
 constexpr std::uint64_t firstIndex = 1;
 
 /// A member that is silent for this long is removed from a group that governs itself.
-constexpr SelfGovernance governance{3, std::chrono::milliseconds(400)};
+constexpr SelfGovernance governance{3, std::chrono::milliseconds(400),
+                                    std::chrono::milliseconds(200)};
 
 GroupSettings settingsOf(const std::string &name, const std::vector<std::string> &names,
                          std::uint64_t seed, bool isSelfGoverned)
--- a/unittests/http/messagetest.cpp
+++ b/unittests/http/messagetest.cpp
@@ -101,6 +101,15 @@
     CHECK(chunked.finish() == ParseState::Malformed);
 }
 
+TEST_CASE("the length of an answer is known as soon as its head is")
+{
+    std::string body;
+    MessageParser parser(MessageSide::Answer);
+    CHECK(parser.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", body) == ParseState::Open);
+    REQUIRE(parser.hasHead());
+    CHECK(parser.head().contentLength == 5U);
+}
+
 TEST_CASE("bytes after an answer are kept apart")
 {
     std::string body;
