--- a/include/kumquathaven/http/connection.h
+++ b/include/kumquathaven/http/connection.h
@@ -47,7 +47,7 @@
     /// is closed before tells nothing.
     static std::shared_ptr<Connection> connect(boost::asio::io_context &loop,
                                                const settings::Address &address,
-                                               std::function<void(bool)> done);
+                                               const std::function<void(bool)> &done);
 
     /// Sets who is told of events, in place of whoever was before.
     void setEvents(ConnectionEvents events);
--- a/include/kumquathaven/http/message.h
+++ b/include/kumquathaven/http/message.h
@@ -52,7 +52,7 @@
 struct MessageBounds
 {
     std::uint32_t maxHeadBytes = 16 * 1024;
-    std::uint64_t maxBodyBytes = 8 * 1024 * 1024;
+    std::uint64_t maxBodyBytes = std::uint64_t{8} * 1024 * 1024;
 };
 
 enum class MessageSide { Request, Answer };
--- a/lib/consensus/membership.cpp
+++ b/lib/consensus/membership.cpp
@@ -175,7 +175,7 @@
         for (const MemberId &it : *list)
             wanted.push_back(it.instance);
     }
-    if (const auto step = nextMembershipStep(replica, wanted, joining, now))
+    if (auto step = nextMembershipStep(replica, wanted, joining, now))
         return step;
     const std::vector<MemberProgress> progress = replica.progress(now);
     const bool isEven = configuration.voters.size() % 2 == 0;
--- a/lib/gateway/exchange.cpp
+++ b/lib/gateway/exchange.cpp
@@ -13,7 +13,9 @@
 
 /// Longest wait of a caller that names none, on a route that names none.
 constexpr Duration longestWait = std::chrono::seconds(60);
-/// When a caller should come back while this instance knows no configuration yet.
+/// When a caller should come back: to another instance while this one leaves, and while this one
+/// knows no configuration yet.
+constexpr Duration leavingRetry = std::chrono::milliseconds(20);
 constexpr Duration unknownPlanRetry = std::chrono::milliseconds(500);
 
 Error refusal(ErrorCode code, const std::string &message, std::optional<Duration> retryAfter = {})
@@ -59,7 +61,7 @@
     if (m_customer != nullptr) {
         if (auto refused = m_gateway.limits.spend(*m_customer, m_tokens, m_arrivedAt)) {
             m_tokens = 0;
-            refuse(std::move(*refused));
+            refuse(*refused);
             return;
         }
     }
@@ -70,6 +72,8 @@
 Result<void> Exchange::identify()
 {
     m_plan = m_gateway.plan;
+    if (!m_gateway.takesRequests)
+        return fail(refusal(ErrorCode::Unavailable, "this entry is leaving", leavingRetry));
     if (!m_plan)
         return fail(
             refusal(ErrorCode::Unavailable, "no configuration is known yet", unknownPlanRetry));
@@ -131,7 +135,7 @@
     close("caller left");
 }
 
-void Exchange::refuse(Error error)
+void Exchange::refuse(const Error &error)
 {
     const auto caller = m_caller.lock();
     const runtime::HttpReply reply = m_gateway.dialect.requests.refuse(error);
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -63,7 +63,7 @@
     void passOn(std::string bytes);
     void passOnHead();
 
-    void refuse(Error error);
+    void refuse(const Error &error);
     void close(const char *what);
     bool isStream() const { return m_route->kind == deployment::RequestKind::Streaming; }
     Duration timeLeft(TimePoint now) const { return m_deadline - now; }
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -68,6 +68,8 @@
     RetryRules retryRules;
     /// The process ends soon: answers tell callers to close their connections.
     bool isLeaving = false;
+    /// Requests that still come are refused at once, so that their callers go elsewhere.
+    bool takesRequests = true;
     RequestCounters counters;
     std::uint32_t running = 0;
 };
--- a/lib/gateway/gatewayrole.cpp
+++ b/lib/gateway/gatewayrole.cpp
@@ -28,10 +28,11 @@
 
 constexpr Duration tickInterval = std::chrono::milliseconds(25);
 constexpr Duration sweepInterval = std::chrono::milliseconds(250);
-/// Callers keep the names of entries for a few seconds; a leaving entry serves them so long.
-constexpr Duration leastLeaving = std::chrono::milliseconds(4500);
+/// Callers keep the names of entries for a few seconds; a leaving entry takes their requests so
+/// long. What it has taken then still ends within the grace.
+constexpr Duration leastLeaving = std::chrono::milliseconds(2800);
 /// The process ends this long before the platform would kill it.
-constexpr Duration graceMargin = std::chrono::milliseconds(1000);
+constexpr Duration graceMargin = std::chrono::milliseconds(400);
 constexpr Duration leavingPoll = std::chrono::milliseconds(100);
 constexpr std::uint32_t probeThreads = 4;
 constexpr int exitAfterFailure = 1;
@@ -315,6 +316,7 @@
     boost::asio::post(gateway.loop, [this, inAnyCase] {
         // Callers that still come go to another entry; those that are here are told to close.
         listener.stopAccepting();
+        gateway.takesRequests = false;
         running = gateway.running;
         if (gateway.running > 0 && !inAnyCase)
             return;
--- a/lib/gateway/servers.cpp
+++ b/lib/gateway/servers.cpp
@@ -312,7 +312,7 @@
 std::optional<routing::Choice> choosePlaced(const Servers &servers, const routing::Request &request,
                                             const Placement &placement, TimePoint now)
 {
-    const auto best = routing::choose(servers.fleet, request, now);
+    auto best = routing::choose(servers.fleet, request, now);
     if (!best || placement.key.empty())
         return best;
     std::vector<routing::Slot> ranked = request.candidates;
@@ -348,10 +348,10 @@
     };
     const auto fresh = withWeights(servers, request, model, part(freeOldPart), now);
     const auto usable = withWeights(servers, request, model, part(lastOldPart), now);
-    const auto onNew = choosePlaced(servers, fresh, placement, now);
+    auto onNew = choosePlaced(servers, fresh, placement, now);
     if (fresh.candidates.size() == usable.candidates.size())
         return onNew;
-    const auto onAny = choosePlaced(servers, usable, placement, now);
+    auto onAny = choosePlaced(servers, usable, placement, now);
     const bool isWorthWait =
         onNew && onAny && onNew->expectedFirstToken <= onAny->expectedFirstToken + waitForNew;
     return isWorthWait ? onNew : onAny;
--- a/lib/http/connection.cpp
+++ b/lib/http/connection.cpp
@@ -50,7 +50,7 @@
 
 std::shared_ptr<Connection> Connection::connect(boost::asio::io_context &loop,
                                                 const settings::Address &address,
-                                                std::function<void(bool)> done)
+                                                const std::function<void(bool)> &done)
 {
     auto connection = std::make_shared<Connection>(tcp::socket(loop));
     error_code ec;
