Entries leave a control member without newer proofs in time for the bound of configuration

The log had no line for a change of the member. Ruled out: the group (a new leader acknowledged changes after 0.65 s).

Change: on a platform the patience is 0.35 of the time in which a configuration must be in force, and proofs are asked for three times within it; a line tells which member is tried.

--- a/include/kumquathaven/feed/follower.h
+++ b/include/kumquathaven/feed/follower.h
@@ -51,7 +51,8 @@
 class Follower
 {
 public:
-    Follower(settings::FeedRelays relays, const catalogue::Instance &self, std::uint64_t seed);
+    Follower(settings::FeedRelays relays, const catalogue::Instance &self, std::uint64_t seed,
+             SubscriberTimes times = {});
 
     /// A link opened to the peer of that name.
     FollowerEffects opened(Uplink uplink, const std::string &peer, TimePoint now);
--- a/lib/feed/client.cpp
+++ b/lib/feed/client.cpp
@@ -8,6 +8,7 @@
 #include "kumquathaven/feed/place.h"
 #include "kumquathaven/telemetry/log.h"
 
+#include <algorithm>
 #include <atomic>
 #include <cassert>
 #include <mutex>
@@ -35,6 +36,22 @@
     wire::Frame frame;
 };
 
+/// What was accepted must be in force in time although the member in use was cut off, which takes
+/// its own step down, this patience, and the way to another member.
+constexpr double patienceShare = 0.35;
+
+SubscriberTimes timesOf(const settings::Settings &settings)
+{
+    SubscriberTimes times;
+    if (!settings.platform)
+        return times;
+    times.memberPatience = std::min(
+        times.memberPatience,
+        std::chrono::duration_cast<Duration>(settings.platform->inForceTime * patienceShare));
+    times.proofInterval = std::min(times.proofInterval, times.memberPatience / 3);
+    return times;
+}
+
 } // namespace
 
 catalogue::Instance ownInstance(const settings::Settings &settings)
@@ -110,7 +127,7 @@
                        const catalogue::Instance &self)
     : m_hub(hub)
     , m_view(view)
-    , m_follower(settings.feedRelays, self, self.incarnation)
+    , m_follower(settings.feedRelays, self, self.incarnation, timesOf(settings))
     , m_member(stableHash(self.name))
 {
     for (const settings::Member &it : settings.members)
@@ -351,7 +368,11 @@
         m_hub.disconnect(m_control);
     ++m_member;
     assert(!m_members.empty() && "there is at least one control member");
-    m_control = m_hub.connect(m_members[m_member % m_members.size()]);
+    const settings::Address next = m_members[m_member % m_members.size()];
+    m_control = m_hub.connect(next);
+    telemetry::logLine(telemetry::LogLevel::Info, "feed", "another control member is tried",
+                       {{"member", settings::toString(next)},
+                        {"position", std::to_string(m_follower.position())}});
     const std::lock_guard<std::mutex> lock(m_mutex);
     m_status.member.clear();
     ++m_status.memberChanges;
--- a/lib/feed/follower.cpp
+++ b/lib/feed/follower.cpp
@@ -21,9 +21,10 @@
 
 } // namespace
 
-Follower::Follower(settings::FeedRelays relays, const catalogue::Instance &self, std::uint64_t seed)
+Follower::Follower(settings::FeedRelays relays, const catalogue::Instance &self, std::uint64_t seed,
+                   SubscriberTimes times)
     : m_relays(relays)
-    , m_subscriber(SubscriberTimes(), self)
+    , m_subscriber(times, self)
     , m_chooser(relays, seed)
     , m_relaying(childrenSlack * relays.children)
 {
