--- a/unittests/feed/subscribertest.cpp
+++ b/unittests/feed/subscribertest.cpp
@@ -1,3 +1,9 @@
+#include "kumquathaven/feed/subscriber.h"
+
+#include <doctest/doctest.h>
+
+using namespace kumquathaven;
+using namespace kumquathaven::feed;
 
 TEST_CASE("the patience with a member without newer proofs is a setting")
 {
