The choice of a server and the tables of servers are two files

No code changes; the unit tests of the gateway, HTTP, the dialect and the deployment pass under the address and undefined-behaviour sanitizers on this commit.

--- a/lib/gateway/servers.cpp
+++ b/lib/gateway/servers.cpp
@@ -1,45 +1,23 @@
+// The tables of servers: lists, weights, and what became of requests.
+
 #include "servers.h"
+#include "servertables.h"
 
-#include "kumquathaven/base/hash.h"
 #include "kumquathaven/deployment/rollout.h"
 
 #include <algorithm>
-#include <array>
-#include <cmath>
 
 namespace kumquathaven::gateway {
 
 namespace {
 
-/// Tokens in which this instance counts what engines hold of prompts. Small enough for shared parts
-/// of some hundred tokens to matter, large enough to keep a long prompt at some tens of blocks.
-constexpr std::uint32_t blockTokens = 512;
 /// Prompt tokens a second that an engine reads until its speed is learned: in the middle of what
 /// engines of today do.
 constexpr double initialPrefill = 50'000;
-/// Shared parts below this size are read faster than fetched.
-constexpr std::uint64_t leastStoredTokens = 2'000;
-/// Bytes a second that a store is taken to send, against the link that it names.
-constexpr double storeLinkShare = 0.4;
-constexpr double bitsOfByte = 8;
-constexpr double bitsOfMegabit = 1e6;
-/// A shared part counts as kept by the store for this long after it was sent there.
-constexpr Duration storedFor = std::chrono::seconds(60);
-constexpr std::size_t maxStored = 20'000;
-/// Prompts that wait to be told to the other instances.
-constexpr std::size_t maxNews = 1'000;
-/// Parts of the time that new weights have to be in place: for which old ones are as good, and
-/// after which nothing is sent to them, since a request may still wait there. In between this wait
-/// for new ones is worth it.
-constexpr double freeOldPart = 0.2;
-constexpr double lastOldPart = 0.6;
-constexpr Duration waitForNew = std::chrono::milliseconds(300);
-/// Servers that a large shared part may be placed on before it goes wherever the wait is least, and
-/// the part of the objective by which the first event may come later there.
-constexpr std::size_t mostPlaces = 3;
-constexpr double placePatience = 0.25;
 /// Versions that are remembered of each model; older ones are out of use.
 constexpr std::size_t maxNamed = 64;
+/// Shared prompts that are remembered to be in the store.
+constexpr std::size_t maxStored = 20'000;
 
 routing::Policy policyOf()
 {
@@ -93,271 +71,8 @@
         refresh(servers, start, server);
 }
 
-/// Returns the parts of a prompt; the rest of its tokens is a part of its own.
-std::vector<routing::NamedPart> partsOf(const deployment::CallerHead &head)
-{
-    std::vector<routing::NamedPart> parts;
-    std::uint64_t counted = 0;
-    for (const deployment::PromptPart &it : head.prompt) {
-        parts.push_back({it.id, static_cast<std::uint32_t>(it.tokens)});
-        counted += it.tokens;
-    }
-    if (counted < head.promptTokens)
-        parts.push_back({head.requestId, static_cast<std::uint32_t>(head.promptTokens - counted)});
-    return parts;
-}
-
-/// Returns the tokens of all parts but the last, which no other request shares.
-std::uint64_t sharedTokensOf(const deployment::CallerHead &head)
-{
-    std::uint64_t tokens = 0;
-    for (std::size_t n = 0; n + 1 < head.prompt.size(); ++n)
-        tokens += head.prompt[n].tokens;
-    return tokens;
-}
-
-/// Returns the text under which engines look for cached parts. It holds the weights version, since
-/// a store keeps parts of former versions, and the customer where parts must not be shared.
-std::string scopeOf(const deployment::Customer *customer, const std::string &version)
-{
-    const bool isWalled = customer != nullptr && customer->isolated;
-    return "v" + version + (isWalled ? "/" + customer->name : std::string());
-}
-
-routing::PrefixScope prefixScopeOf(const PickRequest &request, const std::string &version)
-{
-    const bool isWalled = request.customer != nullptr && request.customer->isolated;
-    return {isWalled ? request.customer->name : std::string(), request.head->model, {}, version};
-}
-
-const deployment::Service *storeOf(const deployment::Plan &plan)
-{
-    for (const auto &it : plan.services) {
-        if (it.second.store)
-            return &it.second;
-    }
-    return nullptr;
-}
-
-/// A candidate for a request.
-struct Candidate
-{
-    const std::string *start = nullptr;
-    const KnownServer *server = nullptr;
-};
-
-bool takesRequest(const Servers &servers, const PickRequest &request, const std::string &start,
-                  const KnownServer &server)
-{
-    const routing::UpstreamView &view = servers.fleet.upstreams[server.slot];
-    return !view.leaving && !view.loading && request.tried.count(start) == 0
-        && routing::takesWork(view.health, deployment::isRepeatable(*request.route));
-}
-
-std::vector<Candidate> candidatesOf(const Servers &servers, const PickRequest &request,
-                                    const std::string &service)
-{
-    std::vector<Candidate> candidates;
-    for (const auto &[start, server] : servers.known) {
-        if (server.listed.service == service && takesRequest(servers, request, start, server))
-            candidates.push_back({&start, &server});
-    }
-    return candidates;
-}
-
-/// Returns the services of a route: the one that its weights draw for this request first.
-std::vector<std::string> servicesOf(const PickRequest &request)
-{
-    std::uint64_t total = 0;
-    for (const deployment::WeightedService &it : request.route->services)
-        total += it.weight;
-    std::vector<std::string> services;
-    if (total == 0)
-        return services;
-    std::uint64_t draw = stableHash(request.head->requestId) % total;
-    std::size_t first = 0;
-    while (draw >= request.route->services[first].weight)
-        draw -= request.route->services[first++].weight;
-    services.push_back(request.route->services[first].service);
-    for (std::size_t n = 0; n < request.route->services.size(); ++n) {
-        if (n != first && request.route->services[n].weight > 0)
-            services.push_back(request.route->services[n].service);
-    }
-    return services;
-}
-
-/// Chooses among plain servers the one whose work in proportion to its places is least.
-const Candidate &leastBusy(const Servers &servers, const std::vector<Candidate> &candidates,
-                           const PickRequest &request)
-{
-    const auto cost = [&](const Candidate &it) {
-        const routing::UpstreamView &view = servers.fleet.upstreams[it.server->slot];
-        const double slots = std::max(1U, it.server->listed.slots);
-        return (it.server->running + 1) / slots * std::max(1.0, view.health.slowness);
-    };
-    const std::string &id = request.head->requestId;
-    return *std::min_element(candidates.begin(), candidates.end(),
-                             [&](const Candidate &a, const Candidate &b) {
-                                 const double left = cost(a);
-                                 const double right = cost(b);
-                                 // Ties are broken anew for each request, so that instances do not
-                                 // all begin alike.
-                                 if (left != right)
-                                     return left < right;
-                                 return rendezvousRank(id, *a.start) > rendezvousRank(id, *b.start);
-                             });
-}
-
-Pick pickOf(const Candidate &candidate, const deployment::Service *service)
-{
-    Pick result;
-    result.start = *candidate.start;
-    result.serverId = candidate.server->listed.id;
-    result.address = candidate.server->listed.address;
-    result.service = candidate.server->listed.service;
-    result.slot = candidate.server->slot;
-    result.maxConnections = service != nullptr ? service->maxConnections : 0;
-    return result;
-}
-
-const deployment::Service *serviceOf(const deployment::Plan &plan, const std::string &name)
-{
-    const auto it = plan.services.find(name);
-    return it == plan.services.end() ? nullptr : &it->second;
-}
-
-routing::Request routingRequest(const Servers &servers, const PickRequest &request,
-                                const std::vector<Candidate> &candidates)
-{
-    routing::Request out;
-    out.repeatable = deployment::isRepeatable(*request.route);
-    out.priority = std::min<std::size_t>(request.route->priority, routing::priorityCount - 1);
-    out.deadline = request.deadline;
-    const std::vector<routing::NamedPart> parts = partsOf(*request.head);
-    for (const Candidate &it : candidates) {
-        const routing::UpstreamView &view = servers.fleet.upstreams[it.server->slot];
-        out.candidates.push_back(it.server->slot);
-        if (!routing::chainFor(out, view))
-            out.chains.emplace_back(prefixScopeOf(request, view.weightsVersion), parts,
-                                    blockTokens);
-    }
-    return out;
-}
-
-/// Adds what the store is believed to keep of the prompt.
-void addStore(const Servers &servers, const PickRequest &request, const deployment::Service *engine,
-              const deployment::Service *store, routing::Request &out, TimePoint now)
-{
-    const std::uint64_t shared = sharedTokensOf(*request.head);
-    const bool isOfUse = store != nullptr && servers.isStoreReachable && engine != nullptr
-        && engine->engine && shared >= leastStoredTokens;
-    if (!isOfUse)
-        return;
-    routing::StoreView view;
-    for (const routing::PrefixChain &chain : out.chains) {
-        const std::size_t blocks =
-            std::min<std::size_t>(shared / blockTokens, chain.blocks().size());
-        const auto last = blocks == 0 ? 0 : static_cast<std::uint64_t>(chain.blocks()[blocks - 1]);
-        const auto kept = servers.stored.find(last);
-        const bool isKept = kept != servers.stored.end() && now - kept->second < storedFor;
-        view.storedTokens.push_back(isKept ? static_cast<double>(blocks * blockTokens) : 0.0);
-    }
-    const double bytes = std::max<double>(1.0, static_cast<double>(engine->engine->tokenBytes));
-    const double mbps = std::min(engine->engine->linkMbps, store->store->linkMbps);
-    view.importTokensPerSecond = storeLinkShare * mbps * bitsOfMegabit / bitsOfByte / bytes;
-    out.store = std::move(view);
-}
-
-/// Returns how long ago a version of a model was replaced by the naming of a newer one.
-Duration replacedFor(const Servers &servers, const std::string &model, std::uint64_t version,
-                     TimePoint now)
-{
-    const auto named = servers.namedAt.find(model);
-    if (named == servers.namedAt.end())
-        return Duration(0);
-    const auto next = named->second.upper_bound(version);
-    return next == named->second.end() ? Duration(0) : now - next->second;
-}
-
-std::uint64_t numberOf(const std::string &version)
-{
-    return std::stoull("0" + version);
-}
-
-/// Leaves only the servers whose weights were replaced for less than \p longest.
-routing::Request withWeights(const Servers &servers, const routing::Request &request,
-                             const std::string &model, Duration longest, TimePoint now)
-{
-    routing::Request out = request;
-    out.candidates.clear();
-    for (const routing::Slot it : request.candidates) {
-        const std::uint64_t version = numberOf(servers.fleet.upstreams[it].weightsVersion);
-        if (replacedFor(servers, model, version, now) < longest)
-            out.candidates.push_back(it);
-    }
-    return out;
-}
-
-/// Where a prompt is placed, so that instances choose alike without talking.
-struct Placement
-{
-    /// Names the shared part; empty if it is too small to matter.
-    std::string key;
-    /// Time by which the first event may come later there than elsewhere.
-    Duration patience{0};
-};
-
-/// Chooses a server. A large shared part goes to its first place, as all instances rank them, or to
-/// the next ones where that is too busy: the others would read or fetch what is held there.
-std::optional<routing::Choice> choosePlaced(const Servers &servers, const routing::Request &request,
-                                            const Placement &placement, TimePoint now)
-{
-    auto best = routing::choose(servers.fleet, request, now);
-    if (!best || placement.key.empty())
-        return best;
-    std::vector<routing::Slot> ranked = request.candidates;
-    const auto rank = [&](routing::Slot it) {
-        return rendezvousRank(placement.key, servers.fleet.upstreams[it].name);
-    };
-    const std::size_t places = std::min(mostPlaces, ranked.size());
-    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(places),
-                      ranked.end(), [&](routing::Slot a, routing::Slot b) {
-                          return rank(a) > rank(b);
-                      });
-    routing::Request one = request;
-    for (std::size_t n = 0; n < places; ++n) {
-        one.candidates = {ranked[n]};
-        auto choice = routing::choose(servers.fleet, one, now);
-        if (!choice || choice->expectedFirstToken > best->expectedFirstToken + placement.patience)
-            continue;
-        choice->reason = routing::ChoiceReason::Placed;
-        return choice;
-    }
-    return best;
-}
-
-/// Chooses between servers with new and with old weights. What runs on old weights is worth less
-/// the longer ago the new ones were named, and nothing in the end.
-std::optional<routing::Choice> chooseVersion(const Servers &servers,
-                                             const routing::Request &request,
-                                             const std::string &model, const Placement &placement,
-                                             TimePoint now)
-{
-    const auto part = [&servers](double share) {
-        return std::chrono::duration_cast<Duration>(servers.weightsTime * share);
-    };
-    const auto fresh = withWeights(servers, request, model, part(freeOldPart), now);
-    const auto usable = withWeights(servers, request, model, part(lastOldPart), now);
-    auto onNew = choosePlaced(servers, fresh, placement, now);
-    if (fresh.candidates.size() == usable.candidates.size())
-        return onNew;
-    auto onAny = choosePlaced(servers, usable, placement, now);
-    const bool isWorthWait =
-        onNew && onAny && onNew->expectedFirstToken <= onAny->expectedFirstToken + waitForNew;
-    return isWorthWait ? onNew : onAny;
-}
+} // namespace
 
-/// A shared prompt is in the store, or on its way there.
 void markStored(Servers &servers, std::uint64_t lastBlock, TimePoint now)
 {
     if (servers.stored.size() >= maxStored)
@@ -365,91 +80,6 @@
     servers.stored[lastBlock] = now;
 }
 
-/// Remembers to tell the others where a shared prompt was sent.
-void addNews(Servers &servers, const PickRequest &request, const Pick &pick)
-{
-    if (servers.news.size() >= maxNews)
-        return;
-    const deployment::CallerHead &head = *request.head;
-    const bool isWalled = request.customer != nullptr && request.customer->isolated;
-    servers.news.push_back({pick.start,
-                            isWalled ? request.customer->name : std::string(),
-                            head.model,
-                            std::to_string(pick.weights.value_or(0)),
-                            {head.prompt.begin(), head.prompt.end() - 1},
-                            pick.savedBlock != 0});
-}
-
-std::optional<Pick> pickEngine(Servers &servers, const PickRequest &request,
-                               const std::vector<Candidate> &candidates,
-                               const deployment::Service *service, TimePoint now)
-{
-    routing::Request out = routingRequest(servers, request, candidates);
-    const deployment::Service *store = storeOf(*request.plan);
-    addStore(servers, request, service, store, out, now);
-    Placement placement;
-    if (sharedTokensOf(*request.head) >= leastStoredTokens) {
-        placement.key = request.head->prompt.front().id;
-        placement.patience =
-            std::chrono::duration_cast<Duration>(request.route->objective * placePatience);
-    }
-    const auto choice = chooseVersion(servers, out, request.head->model, placement, now);
-    if (!choice)
-        return std::nullopt;
-    const auto chosen =
-        std::find_if(candidates.begin(), candidates.end(), [&](const Candidate &it) {
-            return it.server->slot == choice->slot;
-        });
-    Pick result = pickOf(*chosen, service);
-    result.ticket = routing::commit(servers.fleet, out, *choice, now);
-    result.weights = numberOf(choice->weightsVersion);
-    result.cacheScope = scopeOf(request.customer, choice->weightsVersion);
-    result.expectedFirstToken = choice->expectedFirstToken;
-    result.blocks = out.chains[choice->chain].blocks();
-    result.reason = routing::describe(*choice) + "; weights=" + choice->weightsVersion;
-    if (!request.head->prompt.empty())
-        result.reason += "; prompt=" + request.head->prompt.front().id;
-    const std::uint64_t shared = sharedTokensOf(*request.head);
-    if (out.store && store != nullptr) {
-        const bool isHeld = choice->expectedCachedTokens + blockTokens >= shared;
-        const bool isKept = out.store->storedTokens[choice->chain] > 0;
-        // Another instance may have had it stored; a fetch of what is not there takes a
-        // millisecond.
-        if (!isHeld)
-            result.fetchFrom = store->store->address;
-        const auto &blocks = out.chains[choice->chain].blocks();
-        const std::size_t n = std::min<std::size_t>(shared / blockTokens, blocks.size());
-        if (!isHeld && !isKept && n > 0) {
-            result.saveTo = store->store->address;
-            result.savedBlock = static_cast<std::uint64_t>(blocks[n - 1]);
-            // Requests that follow at once do not have it stored again.
-            markStored(servers, result.savedBlock, now);
-        }
-        if (!result.fetchFrom.empty() || !result.saveTo.empty())
-            result.reason += std::string("; store=") + (result.fetchFrom.empty() ? "" : "fetch ")
-                + (result.saveTo.empty() ? "" : "save");
-    }
-    if (shared >= leastStoredTokens)
-        addNews(servers, request, result);
-    return result;
-}
-
-std::optional<Pick> pickPlain(Servers &servers, const PickRequest &request,
-                              const std::vector<Candidate> &candidates,
-                              const deployment::Service *service, TimePoint now)
-{
-    const Candidate &chosen = leastBusy(servers, candidates, request);
-    Pick result = pickOf(chosen, service);
-    const routing::PrefixChain nothing(routing::PrefixScope{}, std::vector<routing::NamedPart>{},
-                                       blockTokens);
-    result.ticket =
-        routing::noteSent(servers.fleet, result.slot, nothing, 1, request.route->objective, now);
-    result.reason = "leastBusy; running=" + std::to_string(chosen.server->running);
-    return result;
-}
-
-} // namespace
-
 Servers::Servers()
     : fleet(policyOf())
 { }
@@ -495,35 +125,6 @@
     refreshAll(servers);
 }
 
-std::optional<Pick> pick(Servers &servers, const PickRequest &request, TimePoint now)
-{
-    routing::reviewHealth(servers.fleet, now);
-    for (const std::string &name : servicesOf(request)) {
-        const std::vector<Candidate> candidates = candidatesOf(servers, request, name);
-        if (candidates.empty())
-            continue;
-        const deployment::Service *service = serviceOf(*request.plan, name);
-        const bool isEngine = service != nullptr && service->engine.has_value();
-        std::optional<Pick> result = isEngine
-            ? pickEngine(servers, request, candidates, service, now)
-            : pickPlain(servers, request, candidates, service, now);
-        if (!result)
-            continue;
-        ++servers.known.at(result->start).running;
-        return result;
-    }
-    return std::nullopt;
-}
-
-bool canPick(const Servers &servers, const PickRequest &request, TimePoint)
-{
-    for (const std::string &name : servicesOf(request)) {
-        if (!candidatesOf(servers, request, name).empty())
-            return true;
-    }
-    return false;
-}
-
 void notePlaced(Servers &servers, const PlacedPrompt &prompt, TimePoint now)
 {
     std::vector<routing::NamedPart> parts;
