--- a/unittests/limits/sharestest.cpp
+++ b/unittests/limits/sharestest.cpp
@@ -124,8 +124,7 @@
     Deployment deployment(8);
     for (Shares &it : deployment.instances)
         it.config.debtTokens = 0.6 * allowedSlack;
-    const Played inside =
-        play(deployment, small.rate / 1.8, std::chrono::seconds(120), 9, small);
+    const Played inside = play(deployment, small.rate / 1.8, std::chrono::seconds(120), 9, small);
     CHECK(static_cast<double>(inside.refused) < 0.02 * static_cast<double>(inside.asked));
     const Played above = play(deployment, 4 * small.rate, std::chrono::seconds(60), 10, small);
     CHECK(above.mostInWindow <= allowedExcess * (8 * small.rate + small.burst) + allowedSlack);
