The first declaration waits until the group bears the losses tolerated; the thread sanitizer builds again

The build with the thread sanitizer failed since g++ refuses the fences of Boost.Asio with it. Change: the leader answers 503 to the first declaration until there are 2f + 1 voters, f being the losses tolerated; Asio's fences are off in that build, its scheduler's mutexes stay. Ruled out: the election after the loss, which other cases of the same file show to end in time.

--- a/cmake/kumquathaven.cmake
+++ b/cmake/kumquathaven.cmake
@@ -18,6 +18,11 @@
 if(KUMQUATHAVEN_SANITIZE)
   add_compile_options(-fsanitize=${KUMQUATHAVEN_SANITIZE} -fno-omit-frame-pointer -O1)
   add_link_options(-fsanitize=${KUMQUATHAVEN_SANITIZE})
+  if(KUMQUATHAVEN_SANITIZE MATCHES thread)
+    # The thread sanitizer does not model fences, and g++ refuses them with it. Boost.Asio orders its
+    # handlers by the mutexes of its scheduler as well, which the sanitizer does see.
+    add_compile_definitions(BOOST_ASIO_DISABLE_FENCED_BLOCK)
+  endif()
 endif()
 
 # kumquathaven_library(NAME SOURCES... DEPS...): the library lib/NAME with headers in include/.
--- a/lib/control/declarations.cpp
+++ b/lib/control/declarations.cpp
@@ -42,8 +42,23 @@
     return {};
 }
 
+Result<void> checkGroup(const DeclarationsContext &context)
+{
+    const auto catalogue = context.machine.published().catalogue;
+    if (isGroupComplete(context.log.status(), catalogue->declaration,
+                        context.settings.platform->lossesTolerated))
+        return {};
+    return fail({ErrorCode::Unavailable,
+                 "declarations.change",
+                 {},
+                 "the group has too few voters yet to bear the losses tolerated",
+                 Outcome::NotRun,
+                 {}});
+}
+
 Result<void> propose(const DeclarationsContext &context, const catalogue::Change &change)
 {
+    BOOST_LEAF_CHECK(checkGroup(context));
     BOOST_LEAF_AUTO(bytes, await(maxWait, [&](const CommandDone &done) {
                         return context.log.command(catalogue::encodeChange(change), done);
                     }));
@@ -127,6 +142,15 @@
         }));
 }
 
+bool isGroupComplete(const LogStatus &status, const catalogue::Declaration &held,
+                     std::uint32_t lossesTolerated)
+{
+    // Others pass the call on to the leader.
+    if (status.standing.role != consensus::Role::Leader || held.text)
+        return true;
+    return status.configuration.voters.size() >= 2 * std::size_t{lossesTolerated} + 1;
+}
+
 std::vector<std::string> entriesFor(const catalogue::Instances &instances,
                                     const deployment::DirectoryCall &call, std::size_t most)
 {
--- a/lib/control/declarations.h
+++ b/lib/control/declarations.h
@@ -32,6 +32,13 @@
 /// Answers one caller that asks which entries to use, from what this member holds.
 void handleDirectory(const DeclarationsContext &context, runtime::HttpExchange &exchange);
 
+/// Returns whether a member may accept a change. While the group is founded it has one voter, then
+/// two: the loss of one disk would then lose what was acknowledged, or the majority for good. So the
+/// leader accepts the first declaration once the group bears the losses that are tolerated. Later
+/// the group never falls below that number but for the moment in which a lost disk is replaced.
+bool isGroupComplete(const LogStatus &status, const catalogue::Declaration &held,
+                     std::uint32_t lossesTolerated);
+
 /// Returns the addresses for callers of the entries that serve: those in the caller's failure
 /// domain first, at most \p most.
 std::vector<std::string> entriesFor(const catalogue::Instances &instances,
