Token limits: large requests run from a pool of what all instances are known to have spent

Change: instances tell each other what they spent besides what is asked of them; each keeps a pool of what all may still spend, expects the others to go on as they told last, and lets a request that its account can not pay run from the pool while half of the burst is left. Spending from a pool is told at once.

--- a/include/kumquathaven/limits/shares.h
+++ b/include/kumquathaven/limits/shares.h
@@ -1,10 +1,13 @@
 // A customer's rate over all instances, shared by the demand that each instance sees.
 //
-// Every instance tells the others what each customer asks of it, and refills its own account with
-// the part of the rate that falls to it. No instance waits for another, so that limits go on while
-// instances come and go; in exchange the bound holds up to the accounts' burst and debt, and while
-// demand moves between instances up to what they have not told yet. Where the exact bound is worth
-// a round trip, slices granted by a home (spender.h) give it.
+// Every instance tells the others what each customer asks of it and what it spent. It refills its own
+// account with the part of the rate that falls to it, and keeps a pool of what all instances are
+// known to have spent. A request runs from the account; if that is too small for it, as it is for
+// large requests where there are many instances, from the pool as long as much of the burst is left
+// there. No instance waits for another, so that limits go on while instances come and go; in
+// exchange the bound holds up to the accounts' burst and debt, and up to what instances have not
+// told each other yet. Where the exact bound is worth a round trip, slices granted by a home
+// (spender.h) give it.
 
 #ifndef KUMQUATHAVEN_LIMITS_SHARES_H
 #define KUMQUATHAVEN_LIMITS_SHARES_H
@@ -31,7 +34,14 @@
     /// An instance that was not heard for this long is taken to see as much as the others do.
     Duration reportLife = std::chrono::seconds(3);
     /// An account holds at most this part of its share of the burst.
-    double burstPart = 0.6;
+    double burstPart = 0.5;
+    /// A request runs from the pool while this part of the burst is left there: room for what
+    /// instances spend until they have heard of each other.
+    double poolReserve = 0.5;
+    /// The part of the burst from which a pool counts as full, since some of it is always spent.
+    double fullPool = 0.9;
+    /// The pool is not trusted if more than this part of the other instances is silent.
+    double mostSilent = 0.25;
     /// An account may fall below zero by what its share refills in this time, so that a request
     /// that is larger than the share of the burst can run.
     Duration debtTime = std::chrono::seconds(1);
@@ -40,8 +50,22 @@
     double debtTokens = 0;
 };
 
-/// What each customer asks of an instance, in tokens a second.
-using Demands = std::map<std::string, double>;
+/// What one customer does at one instance.
+struct CustomerUse
+{
+    /// What it asks for, in tokens a second.
+    double demand = 0;
+    /// Tokens spent since the instance started, less those given back.
+    double spent = 0;
+};
+
+/// What an instance tells of all customers that it has seen.
+struct UseReport
+{
+    /// Differs for each start of the instance: what it spent is counted from zero again.
+    std::uint64_t incarnation = 0;
+    std::map<std::string, CustomerUse> uses;
+};
 
 /// One customer's account on this instance.
 struct ShareAccount
@@ -51,12 +75,25 @@
     /// Moving sum of what was asked for.
     double asked = 0;
     TimePoint askedAt{};
+    /// Since this instance started.
+    double spent = 0;
+};
+
+/// What all instances together may still spend for a customer, as far as this one knows: what the
+/// others have not told yet is expected to go on as they told last, and put right by their reports.
+struct PooledAccount
+{
+    double balance = 0;
+    TimePoint at{};
+    /// The customer's limits when this instance last served it.
+    BucketLimits limits;
 };
 
-/// What another instance told.
-struct PeerDemand
+/// What another instance told last.
+struct PeerUse
 {
-    Demands demands;
+    UseReport report;
+    /// The default: it was never heard.
     TimePoint at{};
 };
 
@@ -64,35 +101,55 @@
 struct Shares
 {
     SharesConfig config;
+    std::uint64_t incarnation = 0;
     std::map<std::string, ShareAccount> accounts;
+    std::map<std::string, PooledAccount> pools;
     /// The other live instances, whether heard or not.
-    std::map<std::string, PeerDemand> peers;
+    std::map<std::string, PeerUse> peers;
+    /// Something was spent from a pool that the others have not been told.
+    bool hasUntoldSpending = false;
+};
+
+/// What a request was given.
+struct Spending
+{
+    std::uint64_t tokens = 0;
+    /// From the pool rather than from the account.
+    bool isPooled = false;
+};
+
+/// Whether a request may run.
+struct SpendAnswer
+{
+    /// Empty if it may not.
+    std::optional<Spending> spending;
+    /// Time after which the tokens are expected to be there.
+    Duration wait{0};
 };
 
 /// Sets which other instances live.
 void keepPeers(Shares &shares, const std::set<std::string> &others);
 
 /// Takes what another instance told. One that does not live, as far as is known, changes nothing.
-void takeDemands(Shares &shares, const std::string &from, Demands demands, TimePoint now);
+void takeReport(Shares &shares, const std::string &from, UseReport report, TimePoint now);
 
-/// Returns what this instance tells the others.
-Demands ownDemands(const Shares &shares, TimePoint now);
+/// Returns what this instance tells the others, who then know all that it spent.
+UseReport ownReport(Shares &shares, TimePoint now);
 
 /// Returns the part of a customer's rate that falls to this instance, from 0 to 1.
 double shareOf(const Shares &shares, const std::string &customer, TimePoint now);
 
-/// Takes tokens from a customer's account. Returns nothing if they were there, else the time after
-/// which they are expected to be, and takes none.
-std::optional<Duration> spend(Shares &shares, const std::string &customer,
-                              const BucketLimits &limits, std::uint64_t tokens, TimePoint now);
+/// Takes tokens for a request from a customer's account, or else from the pool.
+SpendAnswer spend(Shares &shares, const std::string &customer, const BucketLimits &limits,
+                  std::uint64_t tokens, TimePoint now);
 
-/// Gives back tokens of a request that did not run.
+/// Gives back what a request got that did not run.
 void giveBack(Shares &shares, const std::string &customer, const BucketLimits &limits,
-              std::uint64_t tokens, TimePoint now);
+              const Spending &spending, TimePoint now);
 
-/// Demands as CBOR, and back. The error is InvalidRequest and names \p peer.
-std::string encodeDemands(const Demands &demands);
-Result<Demands> decodeDemands(std::string_view bytes, const std::string &peer);
+/// Reports as CBOR, and back. The error is InvalidRequest and names \p peer.
+std::string encodeReport(const UseReport &report);
+Result<UseReport> decodeReport(std::string_view bytes, const std::string &peer);
 
 } // namespace kumquathaven::limits
 
--- a/lib/gateway/exchange.cpp
+++ b/lib/gateway/exchange.cpp
@@ -49,6 +49,7 @@
     const bool isKnown = orElse(
         [&]() -> Result<bool> {
             BOOST_LEAF_CHECK(identify());
+            BOOST_LEAF_CHECK(takeTokens());
             return true;
         },
         [&](const Error &error) {
@@ -58,13 +59,6 @@
     if (!isKnown)
         return;
     armDeadline();
-    if (m_customer != nullptr) {
-        if (auto refused = m_gateway.limits.spend(*m_customer, m_tokens, m_arrivedAt)) {
-            m_tokens = 0;
-            refuse(*refused);
-            return;
-        }
-    }
     send();
 }
 
@@ -97,6 +91,14 @@
     return {};
 }
 
+Result<void> Exchange::takeTokens()
+{
+    if (m_customer == nullptr)
+        return {};
+    BOOST_LEAF_ASSIGN(m_spending, m_gateway.limits.spend(*m_customer, m_tokens, m_arrivedAt));
+    return {};
+}
+
 void Exchange::armDeadline()
 {
     m_deadlineTimer.expires_after(m_deadline - m_arrivedAt);
@@ -160,7 +162,7 @@
     m_deadlineTimer.cancel();
     endSend(SendEnd::Abandoned);
     if (m_customer != nullptr && m_outcome == Outcome::NotRun)
-        m_gateway.limits.giveBack(*m_customer, m_tokens, now);
+        m_gateway.limits.giveBack(*m_customer, m_spending, now);
     if (m_isHeadSent || m_outcome != Outcome::NotRun)
         m_gateway.counters.wholeAnswer.observe(toSeconds(now - m_arrivedAt));
     telemetry::logLine(
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -41,6 +41,7 @@
 private:
     // exchange.cpp: from the request to the first send.
     Result<void> identify();
+    Result<void> takeTokens();
     void armDeadline();
     void deadlinePassed();
 
@@ -80,8 +81,9 @@
     const deployment::Customer *m_customer = nullptr;
     deployment::CallerHead m_callerHead;
     TimePoint m_deadline{};
-    /// Taken from the customer's account.
+    /// What the request counts as against its customer's rate, and what was taken for it.
     std::uint64_t m_tokens = 0;
+    limits::Spending m_spending;
     bool m_isOver = false;
 
     /// The send under way.
--- a/lib/gateway/gatewayrole.cpp
+++ b/lib/gateway/gatewayrole.cpp
@@ -103,7 +103,7 @@
     , hub(hubOptions(settings, self.incarnation))
     , feed(settings, hub, view, self)
     , neighbours(settings.instance, hub)
-    , limits(settings.instance, settings.platform->limitSlackTokens,
+    , limits(settings.instance, self.incarnation, settings.platform->limitSlackTokens,
              [this](const std::string &to, const std::string &body) {
                  neighbours.send(to, {wire::Channel::Slices, limitsFrame, body});
              })
--- a/lib/gateway/tokenlimits.cpp
+++ b/lib/gateway/tokenlimits.cpp
@@ -13,6 +13,10 @@
 /// Messages a second that one instance sends at most, so that their number over all instances grows
 /// with the number of instances and not with its square.
 constexpr double mostMessages = 40;
+/// After spending from a pool the others are told this soon, so that they do not spend it too, and
+/// with at most so many messages a second.
+constexpr Duration urgentInterval = std::chrono::milliseconds(50);
+constexpr double mostUrgentMessages = 400;
 /// A refused caller comes back no sooner and no later than this.
 constexpr Duration leastRetry = std::chrono::milliseconds(100);
 /// Part of the slack that is planned with; the rest covers what instances have not told each other.
@@ -28,11 +32,12 @@
 
 } // namespace
 
-TokenLimits::TokenLimits(std::string instance, double slackTokens,
+TokenLimits::TokenLimits(std::string instance, std::uint64_t incarnation, double slackTokens,
                          std::function<void(const std::string &, const std::string &)> send)
     : m_instance(std::move(instance))
     , m_send(std::move(send))
 {
+    m_shares.incarnation = incarnation;
     m_shares.config.debtTokens = usedSlack * slackTokens;
 }
 
@@ -46,35 +51,36 @@
     limits::keepPeers(m_shares, others);
 }
 
-std::optional<Error> TokenLimits::spend(const deployment::Customer &customer, std::uint64_t tokens,
-                                        TimePoint now)
+Result<limits::Spending> TokenLimits::spend(const deployment::Customer &customer,
+                                            std::uint64_t tokens, TimePoint now)
 {
     if (customer.rateTokensPerSecond == 0)
-        return std::nullopt;
-    const auto wait = limits::spend(m_shares, customer.name, limitsOf(customer), tokens, now);
-    if (!wait)
-        return std::nullopt;
-    return Error{ErrorCode::RateLimited,
+        return limits::Spending{};
+    const limits::SpendAnswer answer =
+        limits::spend(m_shares, customer.name, limitsOf(customer), tokens, now);
+    if (answer.spending)
+        return *answer.spending;
+    return fail({ErrorCode::RateLimited,
                  "limits.spend",
                  {},
                  "the customer's rate is used up here",
                  Outcome::NotRun,
-                 std::clamp(*wait, leastRetry, mostRetry)};
+                 std::clamp(answer.wait, leastRetry, mostRetry)});
 }
 
-void TokenLimits::giveBack(const deployment::Customer &customer, std::uint64_t tokens,
+void TokenLimits::giveBack(const deployment::Customer &customer, const limits::Spending &spending,
                            TimePoint now)
 {
-    if (customer.rateTokensPerSecond > 0)
-        limits::giveBack(m_shares, customer.name, limitsOf(customer), tokens, now);
+    if (spending.tokens > 0)
+        limits::giveBack(m_shares, customer.name, limitsOf(customer), spending, now);
 }
 
 bool TokenLimits::receive(const std::string &from, const std::string &body, TimePoint now)
 {
     return orElse(
         [&]() -> Result<bool> {
-            BOOST_LEAF_AUTO(demands, limits::decodeDemands(body, from));
-            limits::takeDemands(m_shares, from, std::move(demands), now);
+            BOOST_LEAF_AUTO(report, limits::decodeReport(body, from));
+            limits::takeReport(m_shares, from, std::move(report), now);
             return true;
         },
         [](const Error &) {
@@ -84,11 +90,14 @@
 
 void TokenLimits::tick(TimePoint now)
 {
-    if (now < m_nextTell)
+    const auto others = static_cast<double>(m_shares.peers.size());
+    const Duration interval = m_shares.hasUntoldSpending
+        ? std::max(urgentInterval, fromSeconds(others / mostUrgentMessages))
+        : std::max(tellInterval, fromSeconds(others / mostMessages));
+    if (now - m_toldAt < interval)
         return;
-    const Duration bySize = fromSeconds(static_cast<double>(m_shares.peers.size()) / mostMessages);
-    m_nextTell = now + std::max(tellInterval, bySize);
-    const std::string body = limits::encodeDemands(limits::ownDemands(m_shares, now));
+    m_toldAt = now;
+    const std::string body = limits::encodeReport(limits::ownReport(m_shares, now));
     for (const auto &it : m_shares.peers)
         m_send(it.first, body);
 }
--- a/lib/limits/shares.cpp
+++ b/lib/limits/shares.cpp
@@ -14,7 +14,7 @@
 
 // Twice the size designed for: 700 customers.
 constexpr std::size_t maxCustomers = 1400;
-constexpr double maxDemand = 1e15;
+constexpr double maxTokens = 1e15;
 
 double agedAsked(const Shares &shares, const ShareAccount &account, TimePoint now)
 {
@@ -56,6 +56,89 @@
     account.at = now;
 }
 
+bool isSilent(const Shares &shares, const PeerUse &peer, TimePoint now)
+{
+    return peer.at == TimePoint{} || now - peer.at > shares.config.reportLife;
+}
+
+double demandOfPeer(const PeerUse &peer, const std::string &customer)
+{
+    const auto use = peer.report.uses.find(customer);
+    return use == peer.report.uses.end() ? 0.0 : use->second.demand;
+}
+
+/// Returns the part of the other instances' demand that they are expected to spend: all instances
+/// together spend no more than the customer's rate.
+double spentPart(const Shares &shares, const std::string &customer, const PooledAccount &pool,
+                 TimePoint now)
+{
+    const auto account = shares.accounts.find(customer);
+    double demand = account == shares.accounts.end() ? 0.0 : demandOf(shares, account->second, now);
+    for (const auto &it : shares.peers) {
+        if (!isSilent(shares, it.second, now))
+            demand += demandOfPeer(it.second, customer);
+    }
+    return demand <= pool.limits.rate ? 1.0 : pool.limits.rate / demand;
+}
+
+/// Brings a pool to the present. It begins at the reserve, from which nothing is given: what the
+/// others spent just before is not known.
+void refillPool(const Shares &shares, const std::string &customer, PooledAccount &pool,
+                TimePoint now)
+{
+    if (pool.at == TimePoint{}) {
+        pool.balance = shares.config.poolReserve * pool.limits.burst;
+    } else {
+        double others = 0;
+        for (const auto &it : shares.peers) {
+            if (!isSilent(shares, it.second, now))
+                others += demandOfPeer(it.second, customer);
+        }
+        others *= spentPart(shares, customer, pool, now);
+        pool.balance += (pool.limits.rate - others) * std::max(0.0, toSeconds(now - pool.at));
+    }
+    // The accounts overdraw the pool of a customer above its rate; its debt stays bounded.
+    pool.balance = std::clamp(pool.balance, -pool.limits.burst, pool.limits.burst);
+    pool.at = now;
+}
+
+/// Returns the tokens that the pool lacks for a request of this cost; not above zero if it may run.
+double missingInPool(const Shares &shares, const PooledAccount &pool, double cost, TimePoint now)
+{
+    const auto silent =
+        std::count_if(shares.peers.begin(), shares.peers.end(), [&](const auto &it) {
+            return isSilent(shares, it.second, now);
+        });
+    const double others = static_cast<double>(shares.peers.size());
+    // A request that is larger than the burst runs from a pool that is about full.
+    const double left = std::min(shares.config.poolReserve * pool.limits.burst,
+                                 shares.config.fullPool * pool.limits.burst - cost);
+    const double missing = left + cost - pool.balance;
+    const bool isTrusted = static_cast<double>(silent) <= shares.config.mostSilent * others;
+    return isTrusted ? missing : std::max(missing, cost);
+}
+
+/// Puts a pool right by what another instance told: what it spent against what was expected.
+void correctPool(Shares &shares, const std::string &customer, PooledAccount &pool,
+                 const PeerUse &before, double spent, TimePoint now)
+{
+    refillPool(shares, customer, pool, now);
+    const Duration untold = std::min(now - before.at, shares.config.reportLife);
+    const double expected =
+        demandOfPeer(before, customer) * toSeconds(untold) * spentPart(shares, customer, pool, now);
+    pool.balance -= spent - expected;
+}
+
+bool readUse(const nlohmann::json &value, CustomerUse &use)
+{
+    const bool isUse =
+        value.is_array() && value.size() == 2 && value[0].is_number() && value[1].is_number();
+    if (!isUse)
+        return false;
+    use = {value[0].get<double>(), value[1].get<double>()};
+    return use.demand >= 0 && use.demand <= maxTokens && std::abs(use.spent) <= maxTokens;
+}
+
 } // namespace
 
 void keepPeers(Shares &shares, const std::set<std::string> &others)
@@ -66,22 +149,36 @@
         shares.peers.try_emplace(it);
 }
 
-void takeDemands(Shares &shares, const std::string &from, Demands demands, TimePoint now)
+void takeReport(Shares &shares, const std::string &from, UseReport report, TimePoint now)
 {
     const auto peer = shares.peers.find(from);
-    if (peer != shares.peers.end())
-        peer->second = {std::move(demands), now};
+    if (peer == shares.peers.end())
+        return;
+    const PeerUse &before = peer->second;
+    const bool isKnown = before.at != TimePoint{};
+    const bool isSameStart = before.report.incarnation == report.incarnation;
+    for (auto &[customer, pool] : shares.pools) {
+        const auto use = report.uses.find(customer);
+        const auto last = before.report.uses.find(customer);
+        const double spent = use == report.uses.end() ? 0.0 : use->second.spent;
+        const bool isCounted = isSameStart && last != before.report.uses.end();
+        // What was spent before this instance first heard of it is long refilled.
+        if (isKnown)
+            correctPool(shares, customer, pool, before,
+                        spent - (isCounted ? last->second.spent : 0.0), now);
+    }
+    peer->second = {std::move(report), now};
 }
 
-Demands ownDemands(const Shares &shares, TimePoint now)
+UseReport ownReport(Shares &shares, TimePoint now)
 {
-    Demands demands;
-    for (const auto &[customer, account] : shares.accounts) {
-        const double demand = demandOf(shares, account, now);
-        if (demand >= 1)
-            demands[customer] = std::floor(demand);
-    }
-    return demands;
+    UseReport report;
+    report.incarnation = shares.incarnation;
+    for (const auto &[customer, account] : shares.accounts)
+        report.uses[customer] = {std::floor(demandOf(shares, account, now)),
+                                 std::round(account.spent)};
+    shares.hasUntoldSpending = false;
+    return report;
 }
 
 double shareOf(const Shares &shares, const std::string &customer, TimePoint now)
@@ -92,10 +189,10 @@
     double heard = own;
     std::size_t known = 1;
     for (const auto &it : shares.peers) {
-        if (it.second.at == TimePoint{} || now - it.second.at > shares.config.reportLife)
+        if (isSilent(shares, it.second, now))
             continue;
-        const auto demand = it.second.demands.find(customer);
-        heard += demand == it.second.demands.end() ? 0.0 : demand->second;
+        const auto use = it.second.report.uses.find(customer);
+        heard += use == it.second.report.uses.end() ? 0.0 : use->second.demand;
         ++known;
     }
     const double instances = static_cast<double>(shares.peers.size() + 1);
@@ -107,61 +204,83 @@
     return (own + mean) / (2 * mean * instances);
 }
 
-std::optional<Duration> spend(Shares &shares, const std::string &customer,
-                              const BucketLimits &limits, std::uint64_t tokens, TimePoint now)
+SpendAnswer spend(Shares &shares, const std::string &customer, const BucketLimits &limits,
+                  std::uint64_t tokens, TimePoint now)
 {
     ShareAccount &account = shares.accounts[customer];
+    PooledAccount &pool = shares.pools[customer];
     const auto cost = static_cast<double>(tokens);
     account.asked = agedAsked(shares, account, now) + cost;
     account.askedAt = now;
     const OwnLimits own = ownLimits(shares, customer, limits, now);
     refill(account, own, now);
+    pool.limits = limits;
+    refillPool(shares, customer, pool, now);
     // A request that is larger than burst and debt together runs from a full account.
     const double least = std::min(own.least, own.most - cost);
-    if (account.balance - cost >= least) {
-        account.balance -= cost;
-        return std::nullopt;
+    const double missing = least + cost - account.balance;
+    const double pooledMissing = missingInPool(shares, pool, cost, now);
+    if (missing > 0 && pooledMissing > 0) {
+        const Duration ownWait = fromSeconds(missing / std::max(own.rate, 1.0));
+        // An overdrawn pool shows a customer above its rate, whose requests go by the accounts.
+        if (pool.balance < 0)
+            return {std::nullopt, ownWait};
+        return {std::nullopt,
+                std::min(ownWait, fromSeconds(pooledMissing / std::max(limits.rate, 1.0)))};
     }
-    return fromSeconds((least + cost - account.balance) / std::max(own.rate, 1.0));
+    const bool isPooled = missing > 0;
+    if (isPooled)
+        shares.hasUntoldSpending = true;
+    else
+        account.balance -= cost;
+    pool.balance -= cost;
+    account.spent += cost;
+    return {Spending{tokens, isPooled}, Duration(0)};
 }
 
 void giveBack(Shares &shares, const std::string &customer, const BucketLimits &limits,
-              std::uint64_t tokens, TimePoint now)
+              const Spending &spending, TimePoint now)
 {
     const auto account = shares.accounts.find(customer);
     if (account == shares.accounts.end())
         return;
+    const auto tokens = static_cast<double>(spending.tokens);
+    account->second.spent -= tokens;
+    shares.pools[customer].balance += tokens;
+    if (spending.isPooled)
+        return;
     const OwnLimits own = ownLimits(shares, customer, limits, now);
     refill(account->second, own, now);
-    account->second.balance =
-        std::min(own.most, account->second.balance + static_cast<double>(tokens));
+    account->second.balance = std::min(own.most, account->second.balance + tokens);
 }
 
-std::string encodeDemands(const Demands &demands)
+std::string encodeReport(const UseReport &report)
 {
-    return wire::toCbor(nlohmann::json(demands));
+    nlohmann::json uses = nlohmann::json::object();
+    for (const auto &[customer, use] : report.uses)
+        uses[customer] = {use.demand, use.spent};
+    return wire::toCbor({report.incarnation, uses});
 }
 
-Result<Demands> decodeDemands(std::string_view bytes, const std::string &peer)
+Result<UseReport> decodeReport(std::string_view bytes, const std::string &peer)
 {
-    BOOST_LEAF_AUTO(value, wire::fromCbor(bytes, "limits.demands", peer));
-    Demands demands;
-    bool isWellFormed = value.is_object() && value.size() <= maxCustomers;
+    BOOST_LEAF_AUTO(value, wire::fromCbor(bytes, "limits.report", peer));
+    UseReport report;
+    bool isWellFormed = value.is_array() && value.size() == 2 && value[0].is_number_unsigned()
+        && value[1].is_object() && value[1].size() <= maxCustomers;
     if (isWellFormed) {
-        for (const auto &[customer, demand] : value.items()) {
-            const double n = demand.is_number() ? demand.get<double>() : -1;
-            isWellFormed = isWellFormed && n >= 0 && n <= maxDemand;
-            demands[customer] = n;
-        }
+        report.incarnation = value[0].get<std::uint64_t>();
+        for (const auto &[customer, use] : value[1].items())
+            isWellFormed = isWellFormed && readUse(use, report.uses[customer]);
     }
     if (!isWellFormed)
         return fail({ErrorCode::InvalidRequest,
-                     "limits.demands",
+                     "limits.report",
                      peer,
-                     "not the demands of an instance",
+                     "not the report of an instance",
                      Outcome::NotRun,
                      {}});
-    return Result<Demands>(std::move(demands));
+    return Result<UseReport>(std::move(report));
 }
 
 } // namespace kumquathaven::limits
--- a/unittests/limits/sharestest.cpp
+++ b/unittests/limits/sharestest.cpp
@@ -16,14 +16,19 @@
 const std::string customer = "rounds";
 constexpr BucketLimits bucket{170000, 170000};
 
-/// Instances that tell each other their demands every 400 ms.
+constexpr Duration step = milliseconds(5);
+
+/// Instances that tell each other what customers do: regularly, and what was spent from a pool
+/// soon.
 struct Deployment
 {
     explicit Deployment(std::size_t n)
         : instances(n)
     {
-        for (std::size_t i = 0; i < n; ++i)
+        for (std::size_t i = 0; i < n; ++i) {
+            instances[i].incarnation = i + 1;
             setPeers(i, n);
+        }
     }
 
     void setPeers(std::size_t self, std::size_t n)
@@ -36,18 +41,30 @@
         keepPeers(instances[self], others);
     }
 
-    void tell(TimePoint now)
+    void tell(std::size_t from, TimePoint now)
+    {
+        const UseReport report = ownReport(instances[from], now);
+        for (std::size_t to = 0; to < instances.size(); ++to) {
+            if (to != from)
+                takeReport(instances[to], std::to_string(from), report, now);
+        }
+    }
+
+    /// \p t is the time since the start.
+    void tellWhatIsDue(Duration t, TimePoint now)
     {
         for (std::size_t from = 0; from < instances.size(); ++from) {
-            const Demands demands = ownDemands(instances[from], now);
-            for (std::size_t to = 0; to < instances.size(); ++to) {
-                if (to != from)
-                    takeDemands(instances[to], std::to_string(from), demands, now);
-            }
+            const bool isUrgent =
+                instances[from].hasUntoldSpending && t % urgentInterval == Duration(0);
+            // Each tells what it knows as soon as it knows the others.
+            if (t == Duration(0) || isUrgent || (t + from * step) % regularInterval == Duration(0))
+                tell(from, now);
         }
     }
 
     std::vector<Shares> instances;
+    Duration regularInterval = milliseconds(400);
+    Duration urgentInterval = milliseconds(50);
 };
 
 struct Played
@@ -60,7 +77,7 @@
 
 /// Plays requests of 17,000 and 400 tokens that arrive at random instances.
 Played play(Deployment &deployment, double tokensPerSecond, Duration length, std::uint64_t seed,
-            const BucketLimits &limits = bucket)
+            const BucketLimits &limits = bucket, Duration begun = Duration(0))
 {
     constexpr Duration window = std::chrono::seconds(8);
     Random random(seed);
@@ -68,18 +85,17 @@
     std::deque<std::pair<TimePoint, std::uint64_t>> recent;
     double inWindow = 0;
     double due = 0;
-    const TimePoint start{std::chrono::hours(1)};
-    for (Duration t{0}; t < length; t += milliseconds(5)) {
+    const TimePoint start = TimePoint(std::chrono::hours(1)) + begun;
+    for (Duration t{0}; t < length; t += step) {
         const TimePoint now = start + t;
-        if (t % milliseconds(400) == Duration(0))
-            deployment.tell(now);
+        deployment.tellWhatIsDue(t, now);
         due += tokensPerSecond * 0.005;
         while (due > 0) {
             const std::uint64_t tokens = random.below(8) == 0 ? 17000 : 400;
             due -= static_cast<double>(tokens);
             played.asked += tokens;
             Shares &shares = deployment.instances[random.below(deployment.instances.size())];
-            if (spend(shares, customer, limits, tokens, now)) {
+            if (!spend(shares, customer, limits, tokens, now).spending) {
                 played.refused += tokens;
                 continue;
             }
@@ -135,9 +151,9 @@
     Shares self;
     keepPeers(self, {"a", "b", "c"});
     const TimePoint now{std::chrono::hours(1)};
-    takeDemands(self, "a", {}, now);
-    takeDemands(self, "b", {}, now);
-    takeDemands(self, "c", {{customer, 1000}}, now);
+    takeReport(self, "a", {1, {}}, now);
+    takeReport(self, "b", {2, {}}, now);
+    takeReport(self, "c", {3, {{customer, {1000, 0}}}}, now);
     CHECK(shareOf(self, customer, now) < 0.2);
     for (int n = 0; n < 20; ++n)
         spend(self, customer, bucket, 1000, now);
@@ -152,7 +168,7 @@
     CHECK(shareOf(self, customer, now) == doctest::Approx(0.25));
     keepPeers(self, {"a"});
     CHECK(shareOf(self, customer, now) == doctest::Approx(0.5));
-    takeDemands(self, "c", {{customer, 1e9}}, now);
+    takeReport(self, "c", {3, {{customer, {1e9, 0}}}}, now);
     CHECK(shareOf(self, customer, now) == doctest::Approx(0.5));
 }
 
@@ -161,29 +177,113 @@
     Shares self;
     const BucketLimits small{100, 100};
     const TimePoint now{std::chrono::hours(1)};
-    REQUIRE_FALSE(spend(self, customer, small, 150, now));
-    const auto wait = spend(self, customer, small, 100, now);
-    REQUIRE(wait);
-    CHECK(*wait > Duration(0));
-    giveBack(self, customer, small, 150, now);
-    CHECK_FALSE(spend(self, customer, small, 100, now));
+    const SpendAnswer first = spend(self, customer, small, 150, now);
+    REQUIRE(first.spending);
+    const SpendAnswer second = spend(self, customer, small, 100, now);
+    REQUIRE_FALSE(second.spending);
+    CHECK(second.wait > Duration(0));
+    giveBack(self, customer, small, *first.spending, now);
+    CHECK(spend(self, customer, small, 100, now).spending);
+}
+
+TEST_CASE("where there are many instances large requests inside the rate run from the pool")
+{
+    // Each account's part of the rate is a fifth of such a request.
+    Deployment deployment(57);
+    deployment.regularInterval = milliseconds(1400);
+    const Played played = play(deployment, bucket.rate / 1.8, std::chrono::seconds(60), 11);
+    CHECK(static_cast<double>(played.refused) < 0.02 * static_cast<double>(played.asked));
+}
+
+TEST_CASE("many instances stay within what is allowed of a customer that begins to ask for more")
+{
+    for (const double rate : {47000.0, 170000.0, 1'000'000.0}) {
+        for (const std::uint64_t seed : {12, 13, 14}) {
+            const BucketLimits limits{rate, rate};
+            Deployment deployment(57);
+            deployment.regularInterval = milliseconds(1400);
+            for (Shares &it : deployment.instances)
+                it.config.debtTokens = 0.6 * allowedSlack;
+            play(deployment, rate / 1.8, std::chrono::seconds(10), seed, limits);
+            const Played above = play(deployment, 4 * rate, std::chrono::seconds(20), seed, limits,
+                                      std::chrono::seconds(10));
+            CAPTURE(rate);
+            CHECK(above.mostInWindow <= allowedExcess * (8 * rate + rate) + allowedSlack);
+            CHECK(static_cast<double>(above.spent) > 0.9 * 20 * rate);
+        }
+    }
+}
+
+TEST_CASE("a pool is not trusted while many instances are silent")
+{
+    const TimePoint begun{std::chrono::hours(1)};
+    const BucketLimits limits{1000, 1000};
+    for (const std::size_t heard : {3, 2}) {
+        Shares self;
+        const std::vector<std::string> others = {"a", "b", "c", "d"};
+        keepPeers(self, {others.begin(), others.end()});
+        REQUIRE(spend(self, customer, limits, 0, begun).spending);
+        const TimePoint now = begun + std::chrono::seconds(2);
+        for (std::size_t n = 0; n < heard; ++n)
+            takeReport(self, others[n], {1, {}}, now);
+        // The account is as empty as can be.
+        spend(self, customer, limits, 0, now);
+        self.accounts[customer].balance = -1000;
+        const SpendAnswer answer = spend(self, customer, limits, 300, now);
+        CHECK(answer.spending.has_value() == (heard == 3));
+        CHECK(self.hasUntoldSpending == (heard == 3));
+        CHECK((!answer.spending || answer.spending->isPooled));
+    }
+}
+
+TEST_CASE("what others spent leaves the pool, counted from zero after their restart")
+{
+    Shares self;
+    keepPeers(self, {"a"});
+    const TimePoint now{std::chrono::hours(1)};
+    const BucketLimits limits{1000, 1000};
+    spend(self, customer, limits, 0, now);
+    takeReport(self, "a", {1, {{customer, {0, 5000}}}}, now);
+    CHECK(self.pools[customer].balance == doctest::Approx(500));
+    takeReport(self, "a", {1, {{customer, {0, 5300}}}}, now);
+    CHECK(self.pools[customer].balance == doctest::Approx(200));
+    takeReport(self, "a", {2, {{customer, {0, 200}}}}, now);
+    CHECK(self.pools[customer].balance == doctest::Approx(0));
+}
+
+TEST_CASE("what others have not told yet is expected, and put right by their reports")
+{
+    Shares self;
+    keepPeers(self, {"a"});
+    const TimePoint now{std::chrono::hours(1)};
+    const BucketLimits limits{1000, 4000};
+    spend(self, customer, limits, 0, now);
+    takeReport(self, "a", {1, {{customer, {400, 0}}}}, now);
+    spend(self, customer, limits, 0, now + std::chrono::seconds(2));
+    CHECK(self.pools[customer].balance == doctest::Approx(3200));
+    takeReport(self, "a", {1, {{customer, {400, 100}}}}, now + std::chrono::seconds(2));
+    CHECK(self.pools[customer].balance == doctest::Approx(3900));
 }
 
-TEST_CASE("demands survive the way to another instance, and rubbish is refused")
+TEST_CASE("reports survive the way to another instance, and rubbish is refused")
 {
-    const Demands demands{{"a", 5}, {"b", 70000}};
+    const UseReport report{7, {{"a", {5, 10}}, {"b", {70000, -3}}}};
     const auto decoded = orElse(
         [&] {
-            return decodeDemands(encodeDemands(demands), "peer");
+            return decodeReport(encodeReport(report), "peer");
         },
         [](const Error &) {
-            return Demands();
+            return UseReport();
         });
-    CHECK(decoded == demands);
+    CHECK(decoded.incarnation == report.incarnation);
+    REQUIRE(decoded.uses.size() == 2);
+    CHECK(decoded.uses.at("a").demand == 5);
+    CHECK(decoded.uses.at("a").spent == 10);
+    CHECK(decoded.uses.at("b").spent == -3);
     for (const std::string &it : {std::string("x"), std::string("\x81\x01"), std::string()}) {
         const bool isRefused = orElse(
             [&]() -> Result<bool> {
-                BOOST_LEAF_CHECK(decodeDemands(it, "peer"));
+                BOOST_LEAF_CHECK(decodeReport(it, "peer"));
                 return false;
             },
             [](const Error &error) {
