A few instances read the platform's list, the others ask them

Change: lib/gateway/listsharing: three instances, alike for all, read; each other one asks the first reader of its own ranking once a second and is told of changes; one that hears of no list for 2.2 s reads itself. Ruled out: pushing whole lists (10 kB to 84 instances each second do not fit a link of 7.5 Mbit/s).

--- a/lib/gateway/gatewayrole.cpp
+++ b/lib/gateway/gatewayrole.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway.h"
 #include "listener.h"
+#include "listsharing.h"
 #include "placementnews.h"
 #include "serverlist.h"
 #include "storewatch.h"
@@ -38,6 +39,8 @@
 constexpr int exitAfterFailure = 1;
 constexpr const char *limitsFrame = "limits";
 constexpr const char *placementsFrame = "placements";
+constexpr const char *listQuestionFrame = "listQuestion";
+constexpr const char *listFrame = "list";
 /// Between two messages with news of shared prompts to each other entry, while there are few.
 constexpr Duration newsInterval = std::chrono::milliseconds(50);
 /// Such messages a second that one entry sends at most.
@@ -66,6 +69,9 @@
     void tick();
     void takeView(TimePoint now);
     void receive(const std::string &peer, const wire::Frame &frame);
+    Result<bool> understand(const std::string &peer, const wire::Frame &frame, TimePoint now);
+    void shareList(TimePoint now);
+    void takeReadList(const std::vector<deployment::ListedServer> &servers);
     void tellNews(TimePoint now);
     void announce(catalogue::InstanceState state);
     void answerProbe(runtime::HttpExchange &exchange);
@@ -80,6 +86,7 @@
     feed::Neighbours neighbours;
     TokenLimits limits;
     Gateway gateway;
+    ListSharing sharing;
     ServerListReader list;
     StoreWatch store;
     Listener listener;
@@ -110,7 +117,7 @@
     , gateway(settings, dialect, metrics, limits)
     , list(gateway,
            [this](const std::vector<deployment::ListedServer> &servers) {
-               takeList(gateway.servers, servers, monotonicNow());
+               takeReadList(servers);
            })
     , store(gateway)
     , listener(gateway)
@@ -121,6 +128,8 @@
     , timer(gateway.loop)
     , duties("gateway", runtime::RestartPolicy{0})
 {
+    sharing.instance = settings.instance;
+    sharing.startedAt = monotonicNow();
     wire::ChannelHandlers handlers;
     handlers.received = [this](const wire::Peer &peer, const wire::Frame &frame) {
         boost::asio::post(gateway.loop, [this, name = peer.name, it = frame] {
@@ -194,7 +203,7 @@
     const TimePoint now = monotonicNow();
     takeView(now);
     limits.tick(now);
-    list.tick(now);
+    shareList(now);
     store.tick(now);
     tellNews(now);
     gateway.isLeaving = isLeaving;
@@ -207,19 +216,37 @@
     gateway.pool.sweep(startsOf(gateway.servers), now);
 }
 
+/// Reads the platform's list, or asks one of the entries that do.
+void GatewayRole::Impl::shareList(TimePoint now)
+{
+    std::uint32_t readers = 0;
+    if (isToRead(sharing, now))
+        readers = sharing.isReader ? readersOf(sharing) : gateway.retryRules.instances;
+    list.tick(now, readers);
+    if (const auto reader = nextAsked(sharing, now))
+        neighbours.send(*reader,
+                        {wire::Channel::Slices, listQuestionFrame, encodeQuestion(sharing.digest)});
+}
+
+void GatewayRole::Impl::takeReadList(const std::vector<deployment::ListedServer> &servers)
+{
+    const TimePoint now = monotonicNow();
+    takeList(gateway.servers, servers, now);
+    const std::vector<std::string> told = takeRead(sharing, servers, now);
+    if (told.empty())
+        return;
+    const std::string body = encodeList({sharing.digest, Duration(0), sharing.servers});
+    for (const std::string &it : told)
+        neighbours.send(it, {wire::Channel::Slices, listFrame, body});
+}
+
 /// Takes a message of another entry.
 void GatewayRole::Impl::receive(const std::string &peer, const wire::Frame &frame)
 {
     const TimePoint now = monotonicNow();
     const bool isUnderstood = orElse(
-        [&]() -> Result<bool> {
-            if (frame.kind == limitsFrame)
-                return limits.receive(peer, frame.body, now);
-            if (frame.kind != placementsFrame)
-                return false;
-            BOOST_LEAF_AUTO(news, decodePlacements(frame.body, peer));
-            takePlacements(gateway.servers, news, now);
-            return true;
+        [&] {
+            return understand(peer, frame, now);
         },
         [](const Error &) {
             return false;
@@ -231,6 +258,32 @@
             .add();
 }
 
+/// Returns whether the message is one that entries send.
+Result<bool> GatewayRole::Impl::understand(const std::string &peer, const wire::Frame &frame,
+                                           TimePoint now)
+{
+    if (frame.kind == limitsFrame)
+        return limits.receive(peer, frame.body, now);
+    if (frame.kind == listQuestionFrame) {
+        BOOST_LEAF_AUTO(digest, decodeQuestion(frame.body, peer));
+        neighbours.send(
+            peer,
+            {wire::Channel::Slices, listFrame, encodeList(answer(sharing, peer, digest, now))});
+        return true;
+    }
+    if (frame.kind == listFrame) {
+        BOOST_LEAF_AUTO(message, decodeList(frame.body, peer));
+        if (takeAnswer(sharing, message, now))
+            takeList(gateway.servers, *sharing.servers, sharing.readAt);
+        return true;
+    }
+    if (frame.kind != placementsFrame)
+        return false;
+    BOOST_LEAF_AUTO(news, decodePlacements(frame.body, peer));
+    takePlacements(gateway.servers, news, now);
+    return true;
+}
+
 /// Tells the other entries where shared prompts were sent.
 void GatewayRole::Impl::tellNews(TimePoint now)
 {
@@ -259,6 +312,7 @@
         && (!gateway.plan || gateway.plan->plan.version < version);
     if (snapshot.instances != held.instances) {
         neighbours.keep(*snapshot.instances);
+        keepInstances(sharing, *snapshot.instances, now);
         limits.keep(*snapshot.instances);
         gateway.retryRules.instances = static_cast<std::uint32_t>(
             std::max<std::size_t>(1, snapshot.instances->entries.size()));
--- /dev/null
+++ b/lib/gateway/listcodec.cpp
@@ -0,0 +1,127 @@
+// Messages about the platform's list between instances, as CBOR.
+
+#include "listsharing.h"
+
+#include "kumquathaven/wire/cbor.h"
+
+#include <nlohmann/json.hpp>
+
+namespace kumquathaven::gateway {
+
+namespace {
+
+using nlohmann::json;
+
+// Several times the servers designed for.
+constexpr std::size_t maxServers = 50'000;
+constexpr std::size_t maxModels = 256;
+constexpr std::uint64_t maxMilliseconds = 3'600'000;
+constexpr std::size_t fields = 9;
+
+std::uint64_t millisecondsOf(Duration d)
+{
+    const auto n = std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+    return n < 0 ? 0 : static_cast<std::uint64_t>(n);
+}
+
+json toJson(const deployment::ListedServer &it)
+{
+    json weights = json::object();
+    for (const auto &[model, version] : it.weights)
+        weights[model] = version;
+    return {it.id,
+            it.startedAt,
+            it.service,
+            settings::toString(it.address),
+            it.failureDomain,
+            it.slots,
+            it.isLeaving,
+            millisecondsOf(it.warmsFor),
+            std::move(weights)};
+}
+
+bool readWeights(const json &value, std::map<std::string, std::uint64_t> &weights)
+{
+    if (!value.is_object() || value.size() > maxModels)
+        return false;
+    for (const auto &[model, version] : value.items()) {
+        if (!version.is_number_unsigned())
+            return false;
+        weights[model] = version.get<std::uint64_t>();
+    }
+    return true;
+}
+
+bool readServer(const json &value, deployment::ListedServer &out)
+{
+    const bool isServer = value.is_array() && value.size() == fields && value[0].is_string()
+        && value[1].is_number_unsigned() && value[2].is_string() && value[3].is_string()
+        && value[4].is_string() && value[5].is_number_unsigned() && value[6].is_boolean()
+        && value[7].is_number_unsigned() && value[7].get<std::uint64_t>() <= maxMilliseconds;
+    if (!isServer)
+        return false;
+    out.id = value[0].get<std::string>();
+    out.startedAt = value[1].get<std::uint64_t>();
+    out.service = value[2].get<std::string>();
+    out.address = settings::parseAddress(value[3].get<std::string>());
+    out.failureDomain = value[4].get<std::string>();
+    out.slots = value[5].get<std::uint32_t>();
+    out.isLeaving = value[6].get<bool>();
+    out.warmsFor = std::chrono::milliseconds(value[7].get<std::uint64_t>());
+    return !out.id.empty() && out.address.port != 0 && readWeights(value[8], out.weights);
+}
+
+Error malformed(const std::string &peer, const std::string &what)
+{
+    return {ErrorCode::InvalidRequest, "gateway.list", peer, what, Outcome::NotRun, {}};
+}
+
+} // namespace
+
+std::string encodeQuestion(std::uint64_t digest)
+{
+    return wire::toCbor(digest);
+}
+
+Result<std::uint64_t> decodeQuestion(std::string_view bytes, const std::string &peer)
+{
+    BOOST_LEAF_AUTO(value, wire::fromCbor(bytes, "gateway.list", peer));
+    if (!value.is_number_unsigned())
+        return fail(malformed(peer, "not the digest of a list"));
+    return value.get<std::uint64_t>();
+}
+
+std::string encodeList(const ListMessage &message)
+{
+    json servers;
+    if (message.servers != nullptr) {
+        servers = json::array();
+        for (const deployment::ListedServer &it : *message.servers)
+            servers.push_back(toJson(it));
+    }
+    return wire::toCbor({message.digest, millisecondsOf(message.age), std::move(servers)});
+}
+
+Result<ListMessage> decodeList(std::string_view bytes, const std::string &peer)
+{
+    BOOST_LEAF_AUTO(value, wire::fromCbor(bytes, "gateway.list", peer));
+    const bool isMessage = value.is_array() && value.size() == 3 && value[0].is_number_unsigned()
+        && value[1].is_number_unsigned() && value[1].get<std::uint64_t>() <= maxMilliseconds
+        && (value[2].is_null() || (value[2].is_array() && value[2].size() <= maxServers));
+    if (!isMessage)
+        return fail(malformed(peer, "not a list of servers"));
+    ListMessage message;
+    message.digest = value[0].get<std::uint64_t>();
+    message.age = std::chrono::milliseconds(value[1].get<std::uint64_t>());
+    if (value[2].is_null())
+        return Result<ListMessage>(std::move(message));
+    ServerList servers(value[2].size());
+    for (std::size_t n = 0; n < servers.size(); ++n) {
+        if (!readServer(value[2][n], servers[n]))
+            return fail(malformed(peer, "not a server of a list"));
+    }
+    message.servers = std::make_shared<const ServerList>(std::move(servers));
+    return Result<ListMessage>(std::move(message));
+}
+
+} // namespace kumquathaven::gateway
--- /dev/null
+++ b/lib/gateway/listsharing.cpp
@@ -0,0 +1,153 @@
+#include "listsharing.h"
+
+#include "kumquathaven/base/hash.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kumquathaven::gateway {
+
+namespace {
+
+/// Two readers may be lost at once, and one still reads.
+constexpr std::size_t mostReaders = 3;
+constexpr const char *readersKey = "readers of the platform's list";
+/// How often a reader is asked. What changes in between is told.
+constexpr Duration askInterval = std::chrono::seconds(1);
+/// A reader that has not answered for so long is passed over: within two of these a leaving server
+/// is still seen in time.
+constexpr Duration answerPatience = std::chrono::milliseconds(600);
+/// An instance is told of changes for so long after it asked.
+constexpr Duration tellTime = std::chrono::seconds(3);
+/// What is older than this says nothing of servers that leave; an instance then reads by itself.
+constexpr Duration mostAge = std::chrono::milliseconds(2200);
+/// An instance that starts learns who the others are within about this time, if control runs.
+constexpr Duration startPatience = std::chrono::milliseconds(1200);
+
+std::uint64_t digestOf(const ServerList &servers)
+{
+    // The order of the platform's pages means nothing, and a server's warming changes all the time.
+    // Zero stands for no list at all.
+    std::uint64_t sum = servers.size() + 1;
+    for (const deployment::ListedServer &it : servers) {
+        std::string text = deployment::startOf(it) + '|' + it.service + '|'
+            + settings::toString(it.address) + '|' + it.failureDomain + '|'
+            + std::to_string(it.slots) + (it.isLeaving ? "|leaving" : "|");
+        for (const auto &[model, version] : it.weights)
+            text += '|' + model + '=' + std::to_string(version);
+        sum += stableHash(text);
+    }
+    return sum;
+}
+
+} // namespace
+
+void keepInstances(ListSharing &sharing, const catalogue::Instances &instances, TimePoint now)
+{
+    std::vector<std::string> serving;
+    for (const auto &[name, it] : instances.entries) {
+        if (it.state == catalogue::InstanceState::Serving)
+            serving.push_back(name);
+    }
+    const auto byRank = [](const std::string &key) {
+        return [key](const std::string &a, const std::string &b) {
+            return rendezvousRank(key, a) > rendezvousRank(key, b);
+        };
+    };
+    std::sort(serving.begin(), serving.end(), byRank(readersKey));
+    serving.resize(std::min(serving.size(), mostReaders));
+    const auto self = std::find(serving.begin(), serving.end(), sharing.instance);
+    sharing.isReader = self != serving.end();
+    if (sharing.isReader)
+        serving.erase(self);
+    std::sort(serving.begin(), serving.end(), byRank(sharing.instance));
+    if (serving != sharing.readers) {
+        sharing.asked = 0;
+        sharing.askedAt = {};
+        sharing.answeredAt = now;
+    }
+    sharing.readers = std::move(serving);
+    sharing.knowsInstances = !instances.entries.empty();
+    for (auto it = sharing.askers.begin(); it != sharing.askers.end();) {
+        const bool isGone = instances.entries.count(it->first) == 0 || now - it->second > tellTime;
+        it = isGone ? sharing.askers.erase(it) : std::next(it);
+    }
+}
+
+std::uint32_t readersOf(const ListSharing &sharing)
+{
+    const std::size_t readers = sharing.readers.size() + (sharing.isReader ? 1 : 0);
+    return static_cast<std::uint32_t>(std::max<std::size_t>(1, readers));
+}
+
+bool isToRead(const ListSharing &sharing, TimePoint now)
+{
+    if (!sharing.knowsInstances)
+        return now - sharing.startedAt > startPatience;
+    if (sharing.isReader || sharing.readers.empty())
+        return true;
+    return now - sharing.readAt > mostAge && now - sharing.startedAt > startPatience;
+}
+
+std::optional<std::string> nextAsked(ListSharing &sharing, TimePoint now)
+{
+    if (sharing.isReader || sharing.readers.empty())
+        return std::nullopt;
+    const bool isWaiting = sharing.askedAt > sharing.answeredAt;
+    const bool isSilent = isWaiting && now - sharing.askedAt > answerPatience;
+    if (isSilent)
+        sharing.asked = (sharing.asked + 1) % sharing.readers.size();
+    else if (isWaiting || (sharing.askedAt != TimePoint{} && now - sharing.askedAt < askInterval))
+        return std::nullopt;
+    sharing.askedAt = now;
+    return sharing.readers[sharing.asked];
+}
+
+std::vector<std::string> takeRead(ListSharing &sharing, ServerList servers, TimePoint now)
+{
+    const std::uint64_t digest = digestOf(servers);
+    const bool hasChanged = sharing.servers == nullptr || digest != sharing.digest;
+    sharing.servers = std::make_shared<const ServerList>(std::move(servers));
+    sharing.digest = digest;
+    sharing.readAt = now;
+    std::vector<std::string> told;
+    for (const auto &[name, askedAt] : sharing.askers) {
+        if (hasChanged && now - askedAt <= tellTime)
+            told.push_back(name);
+    }
+    return told;
+}
+
+ListMessage answer(ListSharing &sharing, const std::string &asker, std::uint64_t digest,
+                   TimePoint now)
+{
+    sharing.askers[asker] = now;
+    ListMessage message;
+    message.digest = sharing.digest;
+    // Nothing was ever read: the asker turns to another reader.
+    message.age = sharing.servers == nullptr ? mostAge : now - sharing.readAt;
+    if (digest != sharing.digest)
+        message.servers = sharing.servers;
+    return message;
+}
+
+bool takeAnswer(ListSharing &sharing, const ListMessage &message, TimePoint now)
+{
+    // A reader that can not read itself is as good as silent.
+    if (message.age >= mostAge)
+        return false;
+    sharing.answeredAt = now;
+    const TimePoint readAt = now - message.age;
+    if (readAt <= sharing.readAt)
+        return false;
+    if (message.servers != nullptr) {
+        sharing.servers = message.servers;
+        sharing.digest = message.digest;
+    } else if (message.digest != sharing.digest) {
+        return false;
+    }
+    sharing.readAt = readAt;
+    return true;
+}
+
+} // namespace kumquathaven::gateway
--- a/lib/gateway/serverlist.cpp
+++ b/lib/gateway/serverlist.cpp
@@ -32,16 +32,16 @@
         m_call->cancel();
 }
 
-/// All instances read at the same rate, so that together they stay within the platform's bound.
+/// All readers read at the same rate, so that together they stay within the platform's bound.
 Duration ServerListReader::interval() const
 {
     const double calls = m_gateway.settings.platform->listCallsPerSecond * usedShare;
-    const double readers = std::max(1U, m_gateway.retryRules.instances);
+    const double readers = std::max(1U, m_readers);
     const double pages = std::max(1U, m_pages);
     return std::max(leastInterval, fromSeconds(readers * pages / calls));
 }
 
-void ServerListReader::tick(TimePoint now)
+void ServerListReader::tick(TimePoint now, std::uint32_t readers)
 {
     if (m_call) {
         if (now - m_askedAt > pagePatience) {
@@ -50,8 +50,9 @@
         }
         return;
     }
-    if (now < m_nextAt)
+    if (now < m_nextAt || readers == 0)
         return;
+    m_readers = readers;
     m_servers.clear();
     m_page.clear();
     m_pages = 0;
--- a/lib/gateway/serverlist.h
+++ b/lib/gateway/serverlist.h
@@ -24,8 +24,9 @@
     ServerListReader(const ServerListReader &) = delete;
     ServerListReader &operator=(const ServerListReader &) = delete;
 
-    /// Begins a reading if one is due. To be called every few tens of milliseconds.
-    void tick(TimePoint now);
+    /// Goes on with a reading, and begins one if it is due and this instance is one of \p readers
+    /// that read; zero: others read. To be called every few tens of milliseconds.
+    void tick(TimePoint now, std::uint32_t readers);
 
 private:
     void askPage();
@@ -44,6 +45,7 @@
     std::string m_body;
     int m_status = 0;
     std::uint32_t m_pages = 0;
+    std::uint32_t m_readers = 1;
     std::uint32_t m_unread = 0;
     bool m_isFailing = false;
 };
