--- a/include/kumquathaven/limits/shares.h
+++ b/include/kumquathaven/limits/shares.h
@@ -1,10 +1,10 @@
 // A customer's rate over all instances, shared by the demand that each instance sees.
 //
-// Every instance tells the others what each customer asks of it and what it spent. It refills its own
-// account with the part of the rate that falls to it, and keeps a pool of what all instances are
-// known to have spent. A request runs from the account; if that is too small for it, as it is for
-// large requests where there are many instances, from the pool as long as much of the burst is left
-// there. No instance waits for another, so that limits go on while instances come and go; in
+// Every instance tells the others what each customer asks of it and what it spent. It refills its
+// own account with the part of the rate that falls to it, and keeps a pool of what all instances
+// are known to have spent. A request runs from the account; if that is too small for it, as it is
+// for large requests where there are many instances, from the pool as long as much of the burst is
+// left there. No instance waits for another, so that limits go on while instances come and go; in
 // exchange the bound holds up to the accounts' burst and debt, and up to what instances have not
 // told each other yet. Where the exact bound is worth a round trip, slices granted by a home
 // (spender.h) give it.
--- a/lib/control/declarations.h
+++ b/lib/control/declarations.h
@@ -33,9 +33,10 @@
 void handleDirectory(const DeclarationsContext &context, runtime::HttpExchange &exchange);
 
 /// Returns whether a member may accept a change. While the group is founded it has one voter, then
-/// two: the loss of one disk would then lose what was acknowledged, or the majority for good. So the
-/// leader accepts the first declaration once the group bears the losses that are tolerated. Later
-/// the group never falls below that number but for the moment in which a lost disk is replaced.
+/// two: the loss of one disk would then lose what was acknowledged, or the majority for good. So
+/// the leader accepts the first declaration once the group bears the losses that are tolerated.
+/// Later the group never falls below that number but for the moment in which a lost disk is
+/// replaced.
 bool isGroupComplete(const LogStatus &status, const catalogue::Declaration &held,
                      std::uint32_t lossesTolerated);
 
