An entry that starts reads the platform's list at once

Change: an entry without a fresh list reads it itself, unless its reading has just failed, as where all entries start at once and the platform takes no more calls; then the readers go first.

--- a/lib/gateway/gatewayrole.cpp
+++ b/lib/gateway/gatewayrole.cpp
@@ -136,7 +136,6 @@
     , duties("gateway", runtime::RestartPolicy{0})
 {
     sharing.instance = settings.instance;
-    sharing.startedAt = monotonicNow();
     wire::ChannelHandlers handlers;
     handlers.received = [this](const wire::Peer &peer, const wire::Frame &frame) {
         boost::asio::post(gateway.loop, [this, name = peer.name, it = frame] {
@@ -244,6 +243,7 @@
 void GatewayRole::Impl::shareList(TimePoint now)
 {
     std::uint32_t readers = 0;
+    sharing.failedAt = list.failedAt();
     if (isToRead(sharing, now))
         readers = sharing.isReader ? readersOf(sharing) : gateway.retryRules.instances;
     list.tick(now, readers);
--- a/lib/gateway/listsharing.cpp
+++ b/lib/gateway/listsharing.cpp
@@ -21,8 +21,9 @@
 constexpr Duration tellTime = std::chrono::seconds(3);
 /// What is older than this says nothing of servers that leave; an instance then reads by itself.
 constexpr Duration mostAge = std::chrono::milliseconds(2200);
-/// An instance that starts learns who the others are within about this time, if control runs.
-constexpr Duration startPatience = std::chrono::milliseconds(1200);
+/// After a reading that failed, as where all instances start at once and the platform takes no more
+/// calls, an instance that does not belong to the readers leaves the calls to them for this time.
+constexpr Duration failurePatience = std::chrono::milliseconds(1200);
 
 std::uint64_t digestOf(const ServerList &servers)
 {
@@ -82,11 +83,13 @@
 
 bool isToRead(const ListSharing &sharing, TimePoint now)
 {
-    if (!sharing.knowsInstances)
-        return now - sharing.startedAt > startPatience;
-    if (sharing.isReader || sharing.readers.empty())
+    const bool isAlone = sharing.readers.empty();
+    if (sharing.isReader || (isAlone && sharing.knowsInstances))
         return true;
-    return now - sharing.readAt > mostAge && now - sharing.startedAt > startPatience;
+    // One that starts can serve nobody before it has a list, and does not wait for the others.
+    const bool hasFailed =
+        sharing.failedAt != TimePoint{} && now - sharing.failedAt < failurePatience;
+    return now - sharing.readAt > mostAge && !hasFailed;
 }
 
 std::optional<std::string> nextAsked(ListSharing &sharing, TimePoint now)
--- a/lib/gateway/listsharing.h
+++ b/lib/gateway/listsharing.h
@@ -43,8 +43,8 @@
 struct ListSharing
 {
     std::string instance;
-    /// When this process started to know who the others are.
-    TimePoint startedAt{};
+    /// When this instance's own reading failed last.
+    TimePoint failedAt{};
     /// All readers; without this instance, in its own ranking of them.
     std::vector<std::string> readers;
     bool knowsInstances = false;
--- a/lib/gateway/serverlist.cpp
+++ b/lib/gateway/serverlist.cpp
@@ -137,7 +137,8 @@
 
 void ServerListReader::failed(const std::string &reason)
 {
-    m_nextAt = monotonicNow() + std::max(retryInterval, interval() / 2);
+    m_failedAt = monotonicNow();
+    m_nextAt = m_failedAt + std::max(retryInterval, interval() / 2);
     m_gateway.metrics
         .counter("kumquathaven_list_failures_total", "readings of the list that failed")
         .add();
--- a/lib/gateway/serverlist.h
+++ b/lib/gateway/serverlist.h
@@ -28,6 +28,9 @@
     /// that read; zero: others read. To be called every few tens of milliseconds.
     void tick(TimePoint now, std::uint32_t readers);
 
+    /// Returns when a reading failed last.
+    TimePoint failedAt() const { return m_failedAt; }
+
 private:
     void askPage();
     void takePage();
@@ -40,6 +43,7 @@
     std::shared_ptr<UpstreamCall> m_call;
     TimePoint m_nextAt{};
     TimePoint m_askedAt{};
+    TimePoint m_failedAt{};
     std::vector<deployment::ListedServer> m_servers;
     std::string m_page;
     std::string m_body;
