Token limits: sums over the other entries are kept instead of summed anew

Change: what the others are asked for is kept in sums that follow reports, silence and departures. Demands on the wire must be whole numbers, so that nothing is left of them in a sum. Tests: sharestest.cpp, 'the sums over others follow their reports, their silence and their end'.

--- a/include/kumquathaven/limits/shares.h
+++ b/include/kumquathaven/limits/shares.h
@@ -95,6 +95,8 @@
     UseReport report;
     /// The default: it was never heard.
     TimePoint at{};
+    /// Whether its demands are in the sums over the others.
+    bool isCounted = false;
 };
 
 /// State of one instance.
@@ -106,6 +108,12 @@
     std::map<std::string, PooledAccount> pools;
     /// The other live instances, whether heard or not.
     std::map<std::string, PeerUse> peers;
+    /// Sums over the others that are not silent: how many they are, and what they are asked for by
+    /// customer. Kept with each report, since summing anew for each request would take a large part
+    /// of a small instance's processor where there are dozens.
+    std::size_t countedPeers = 0;
+    std::map<std::string, double> countedDemand;
+    TimePoint silenceReviewedAt{};
     /// Something was spent from a pool that the others have not been told.
     bool hasUntoldSpending = false;
 };
--- a/lib/limits/shares.cpp
+++ b/lib/limits/shares.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <iterator>
 
 namespace kumquathaven::limits {
 
@@ -15,6 +14,9 @@
 // Twice the size designed for: 700 customers.
 constexpr std::size_t maxCustomers = 1400;
 constexpr double maxTokens = 1e15;
+/// How often it is looked who fell silent: far below the time after which somebody counts as
+/// silent.
+constexpr Duration silenceReviewInterval = std::chrono::milliseconds(100);
 
 double agedAsked(const Shares &shares, const ShareAccount &account, TimePoint now)
 {
@@ -67,17 +69,53 @@
     return use == peer.report.uses.end() ? 0.0 : use->second.demand;
 }
 
+double demandOfOthers(const Shares &shares, const std::string &customer)
+{
+    const auto demand = shares.countedDemand.find(customer);
+    return demand == shares.countedDemand.end() ? 0.0 : demand->second;
+}
+
+/// Puts a peer's demands into the sums.
+void count(Shares &shares, PeerUse &peer)
+{
+    ++shares.countedPeers;
+    for (const auto &[customer, use] : peer.report.uses)
+        shares.countedDemand[customer] += use.demand;
+    peer.isCounted = true;
+}
+
+/// Takes a peer's demands out of the sums. They are whole numbers, so that nothing is left of them.
+void uncount(Shares &shares, PeerUse &peer)
+{
+    if (!peer.isCounted)
+        return;
+    --shares.countedPeers;
+    for (const auto &[customer, use] : peer.report.uses)
+        shares.countedDemand[customer] -= use.demand;
+    peer.isCounted = false;
+}
+
+/// Takes peers that fell silent out of the sums.
+void reviewSilence(Shares &shares, TimePoint now)
+{
+    if (now - shares.silenceReviewedAt < silenceReviewInterval)
+        return;
+    shares.silenceReviewedAt = now;
+    for (auto &it : shares.peers) {
+        if (isSilent(shares, it.second, now))
+            uncount(shares, it.second);
+    }
+}
+
 /// Returns the part of the other instances' demand that they are expected to spend: all instances
 /// together spend no more than the customer's rate.
 double spentPart(const Shares &shares, const std::string &customer, const PooledAccount &pool,
                  TimePoint now)
 {
     const auto account = shares.accounts.find(customer);
-    double demand = account == shares.accounts.end() ? 0.0 : demandOf(shares, account->second, now);
-    for (const auto &it : shares.peers) {
-        if (!isSilent(shares, it.second, now))
-            demand += demandOfPeer(it.second, customer);
-    }
+    const double own =
+        account == shares.accounts.end() ? 0.0 : demandOf(shares, account->second, now);
+    const double demand = own + demandOfOthers(shares, customer);
     return demand <= pool.limits.rate ? 1.0 : pool.limits.rate / demand;
 }
 
@@ -89,12 +127,8 @@
     if (pool.at == TimePoint{}) {
         pool.balance = shares.config.poolReserve * pool.limits.burst;
     } else {
-        double others = 0;
-        for (const auto &it : shares.peers) {
-            if (!isSilent(shares, it.second, now))
-                others += demandOfPeer(it.second, customer);
-        }
-        others *= spentPart(shares, customer, pool, now);
+        const double others =
+            demandOfOthers(shares, customer) * spentPart(shares, customer, pool, now);
         pool.balance += (pool.limits.rate - others) * std::max(0.0, toSeconds(now - pool.at));
     }
     // The accounts overdraw the pool of a customer above its rate; its debt stays bounded.
@@ -136,15 +170,22 @@
     if (!isUse)
         return false;
     use = {value[0].get<double>(), value[1].get<double>()};
-    return use.demand >= 0 && use.demand <= maxTokens && std::abs(use.spent) <= maxTokens;
+    return use.demand >= 0 && use.demand <= maxTokens && use.demand == std::floor(use.demand)
+        && std::abs(use.spent) <= maxTokens;
 }
 
 } // namespace
 
 void keepPeers(Shares &shares, const std::set<std::string> &others)
 {
-    for (auto it = shares.peers.begin(); it != shares.peers.end();)
-        it = others.count(it->first) == 0 ? shares.peers.erase(it) : std::next(it);
+    for (auto it = shares.peers.begin(); it != shares.peers.end();) {
+        if (others.count(it->first) > 0) {
+            ++it;
+            continue;
+        }
+        uncount(shares, it->second);
+        it = shares.peers.erase(it);
+    }
     for (const std::string &it : others)
         shares.peers.try_emplace(it);
 }
@@ -167,7 +208,9 @@
             correctPool(shares, customer, pool, before,
                         spent - (isCounted ? last->second.spent : 0.0), now);
     }
-    peer->second = {std::move(report), now};
+    uncount(shares, peer->second);
+    peer->second = {std::move(report), now, false};
+    count(shares, peer->second);
 }
 
 UseReport ownReport(Shares &shares, TimePoint now)
@@ -186,15 +229,8 @@
     const auto account = shares.accounts.find(customer);
     const double own =
         account == shares.accounts.end() ? 0.0 : demandOf(shares, account->second, now);
-    double heard = own;
-    std::size_t known = 1;
-    for (const auto &it : shares.peers) {
-        if (isSilent(shares, it.second, now))
-            continue;
-        const auto use = it.second.report.uses.find(customer);
-        heard += use == it.second.report.uses.end() ? 0.0 : use->second.demand;
-        ++known;
-    }
+    const double heard = own + demandOfOthers(shares, customer);
+    const std::size_t known = 1 + shares.countedPeers;
     const double instances = static_cast<double>(shares.peers.size() + 1);
     if (heard <= 0)
         return 1 / instances;
@@ -207,6 +243,7 @@
 SpendAnswer spend(Shares &shares, const std::string &customer, const BucketLimits &limits,
                   std::uint64_t tokens, TimePoint now)
 {
+    reviewSilence(shares, now);
     ShareAccount &account = shares.accounts[customer];
     PooledAccount &pool = shares.pools[customer];
     const auto cost = static_cast<double>(tokens);
--- a/unittests/limits/sharestest.cpp
+++ b/unittests/limits/sharestest.cpp
@@ -172,6 +172,27 @@
     CHECK(shareOf(self, customer, now) == doctest::Approx(0.5));
 }
 
+TEST_CASE("the sums over others follow their reports, their silence and their end")
+{
+    Shares self;
+    keepPeers(self, {"a", "b"});
+    const TimePoint now{std::chrono::hours(1)};
+    spend(self, customer, bucket, 0, now);
+    takeReport(self, "a", {1, {{customer, {1000, 0}}}}, now);
+    takeReport(self, "b", {1, {{customer, {500, 0}}, {"other", {7, 0}}}}, now);
+    takeReport(self, "b", {1, {{customer, {300, 0}}}}, now + milliseconds(2500));
+    CHECK(self.countedPeers == 2);
+    CHECK(self.countedDemand[customer] == 1300);
+    CHECK(self.countedDemand["other"] == 0);
+    // Only b was heard lately.
+    spend(self, customer, bucket, 0, now + milliseconds(3500));
+    CHECK(self.countedPeers == 1);
+    CHECK(self.countedDemand[customer] == 300);
+    keepPeers(self, {"a"});
+    CHECK(self.countedPeers == 0);
+    CHECK(self.countedDemand[customer] == 0);
+}
+
 TEST_CASE("tokens of a request that did not run come back")
 {
     Shares self;
