--- a/lib/entry/joinstep.cpp
+++ b/lib/entry/joinstep.cpp
@@ -12,7 +12,6 @@
 
 // How often a reader looks whether its caller has gone.
 constexpr Duration readerCheckInterval = std::chrono::milliseconds(100);
-constexpr int firstErrorStatus = 300;
 
 admission::RetryHints signsOf(const CallerRequest &request, const std::string &fingerprint)
 {
@@ -64,11 +63,14 @@
         auto fetched = serveFromFleet(passage, work, part, shared);
         report = fetched ? std::move(*fetched) : serveOnce(passage, shared);
     } catch (...) {
-        table.fail(part, Error{});
+        if (!shared.isComplete())
+            table.fail(part, Error{});
         throw;
     }
+    if (shared.isComplete())
+        return report;
     if (report.end == AttemptEnd::Complete)
-        table.complete(part, shared.status() < firstErrorStatus);
+        table.complete(part, true);
     else
         table.fail(part, *report.error);
     return report;
--- a/lib/entry/jointable.cpp
+++ b/lib/entry/jointable.cpp
@@ -10,6 +10,7 @@
 
 // How long a writer waits for a reader that is behind by a whole buffer.
 constexpr Duration slowReaderLimit = std::chrono::seconds(5);
+constexpr int firstErrorStatus = 300;
 
 } // namespace
 
@@ -171,9 +172,10 @@
 bool SharingSink::whole(const runtime::HttpReply &reply)
 {
     m_hasBegun = true;
-    m_status = reply.status;
     m_table.begin(m_part, {reply.status, reply.contentType, reply.headers});
     m_table.append(m_part, reply.body);
+    m_isComplete = true;
+    m_table.complete(m_part, reply.status < firstErrorStatus);
     m_callerGone = m_callerGone || !m_caller.whole(reply);
     return true;
 }
--- a/lib/entry/jointable.h
+++ b/lib/entry/jointable.h
@@ -104,8 +104,9 @@
     bool gone() override;
     bool hasBegun() const override { return m_hasBegun; }
 
-    /// The status of a whole answer; 200 for a stream.
-    int status() const { return m_status; }
+    /// Returns whether the answer in the table is complete. An answer that is not streamed is
+    /// completed before its caller gets it, so that a retry finds it kept.
+    bool isComplete() const { return m_isComplete; }
 
 private:
     bool someoneReads();
@@ -115,7 +116,7 @@
     Part m_part;
     bool m_callerGone = false;
     bool m_hasBegun = false;
-    int m_status = 200;
+    bool m_isComplete = false;
 };
 
 } // namespace kumquathaven::entry
--- a/unittests/entry/sharedtest.cpp
+++ b/unittests/entry/sharedtest.cpp
@@ -94,3 +94,66 @@
         CHECK(texts[n] == whole);
     CHECK_FALSE(table.hasReaders(writer));
 }
+
+namespace {
+
+/// A caller that retries while its answer is being delivered.
+class RetryingCaller : public AnswerSink
+{
+public:
+    RetryingCaller(JoinTable &table, answers::WorkKey key)
+        : m_table(table)
+        , m_key(std::move(key))
+    { }
+
+    bool begin(const std::string &, const runtime::HeaderFields &) override { return true; }
+    bool events(const std::string &) override { return true; }
+    bool whole(const runtime::HttpReply &) override
+    {
+        const Part retry = m_table.enter(m_key, "f", true);
+        kind = retry.kind;
+        if (kind != JoinKind::Joins)
+            return true;
+        const auto result = m_table.read(retry, std::chrono::milliseconds(10));
+        if (result)
+            state = result->state;
+        m_table.detach(retry);
+        return true;
+    }
+    bool gone() override { return false; }
+    bool hasBegun() const override { return false; }
+
+    JoinKind kind = JoinKind::Runs;
+    answers::AnswerState state = answers::AnswerState::Running;
+
+private:
+    JoinTable &m_table;
+    answers::WorkKey m_key;
+};
+
+} // namespace
+
+TEST_CASE("a retry that arrives while an answer is delivered finds the complete answer")
+{
+    JoinTable table;
+    const answers::WorkKey key{"a", answers::workOfKey("k")};
+    const Part writer = table.enter(key, "f", true);
+    RetryingCaller caller(table, key);
+    SharingSink sink(caller, table, writer);
+    CHECK(sink.whole({200, "text/plain", {}, "answer"}));
+    CHECK(caller.kind == JoinKind::Joins);
+    CHECK(caller.state == answers::AnswerState::Complete);
+    CHECK(sink.isComplete());
+}
+
+TEST_CASE("an answer that reports an error is not kept")
+{
+    JoinTable table;
+    const answers::WorkKey key{"a", answers::workOfKey("k")};
+    const Part writer = table.enter(key, "f", true);
+    RetryingCaller caller(table, key);
+    SharingSink sink(caller, table, writer);
+    CHECK(sink.whole({500, "text/plain", {}, "failure"}));
+    CHECK(caller.kind == JoinKind::Runs);
+    CHECK_FALSE(sink.gone());
+}
