--- a/test/soak/checkstest.py
+++ b/test/soak/checkstest.py
@@ -1,14 +1,56 @@
 """Each check of the soak is seen to find its breach, and to pass a history without it."""
 
+import signal
+import subprocess
 import unittest
 
 import checks
 from checks import Bounds, check_all
+from soak import ended_by_itself
+from soaksite import SoakProcess
 from standins import EVENTS, History, event, plain_body, question
 
 BOUNDS = Bounds(drain=3.0, in_force=2.5, ratio=0.2, slack=5, window=10, limits={"north": (100, 200)}, limit_slack=100)
 
 
+class Ends(unittest.TestCase):
+    """Whether a process counts as ended by itself, at every moment of a fault that ends it."""
+
+    def process(self):
+        it = SoakProcess.__new__(SoakProcess)
+        # The program is replaced; what is tested is which ends count.
+        it.spawn = lambda: subprocess.Popen(["sleep", "60"])
+        it.start()
+        self.addCleanup(lambda: (it.process.kill(), it.process.wait()))
+        return it
+
+    def test_a_killed_process_does_not_count_while_its_successor_starts(self):
+        it = self.process()
+        found = []
+        spawn = it.spawn
+
+        def spawn_watched():
+            found.append(ended_by_itself(it))
+            return spawn()
+        it.spawn = spawn_watched
+        it.kill()
+        it.start()
+        self.assertEqual(found, [None])
+        self.assertIsNone(ended_by_itself(it))
+
+    def test_a_process_that_ends_by_itself_counts(self):
+        it = self.process()
+        it.process.kill()
+        it.process.wait()
+        self.assertIs(ended_by_itself(it), it.process)
+
+    def test_a_stopped_process_does_not_count(self):
+        it = self.process()
+        it.signal(signal.SIGTERM)
+        it.process.wait()
+        self.assertIsNone(ended_by_itself(it))
+
+
 class Checks(unittest.TestCase):
 
     def setUp(self):
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -24,6 +24,12 @@
 BOUNDS = Bounds(DRAIN_TIME, IN_FORCE_TIME, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW, LIMITS, LIMIT_SLACK)
 
 
+def ended_by_itself(it):
+    """Returns the present process of a site's process if it ended without being asked to."""
+    process = it.process
+    return process if process.poll() is not None and not process.end_asked else None
+
+
 def watch(site, history, operator, prober, stop):
     """Reads configurations, asks for the newest route, and notes processes that end by themselves."""
     seen = set()
@@ -31,8 +37,8 @@
         operator.read()
         prober.probe(operator.version)
         for name, it in list(site.processes.items()):
-            process = it.process
-            if process.poll() is not None and not it.end_asked and process.pid not in seen:
+            process = ended_by_itself(it)
+            if process and process.pid not in seen:
                 seen.add(process.pid)
                 history.add(history.exits, name=name, at=history.now(), how=f"ended by itself with {process.returncode}")
 
--- a/test/soak/soaksite.py
+++ b/test/soak/soaksite.py
@@ -39,20 +39,21 @@
         draft.rename(self.faults)
 
     def start(self):
-        # Whether the soak asked for the present process to end, by a signal that does.
-        self.end_asked = False
-        super().start()
+        # The mark belongs to one process, so that it never applies to the one before or after.
+        program = self.spawn()
+        program.end_asked = False
+        self.process = program
 
     def alive(self):
         return self.process.poll() is None
 
     def signal(self, number):
-        self.end_asked = self.end_asked or number == signal.SIGTERM
+        self.process.end_asked = self.process.end_asked or number == signal.SIGTERM
         if self.alive():
             self.process.send_signal(number)
 
     def kill(self):
-        self.end_asked = True
+        self.process.end_asked = True
         if self.alive():
             self.process.kill()
         self.process.wait(10)
--- a/test/system/platform_common.py
+++ b/test/system/platform_common.py
@@ -46,9 +46,12 @@
         self.start()
 
     def start(self):
+        self.process = self.spawn()
+
+    def spawn(self):
         program = pathlib.Path(BIN) / "kumquathavend"
-        self.process = subprocess.Popen([program, "--settings", self.file], stdout=self.log, stderr=self.log,
-                                        env={**os.environ, **self.environment})
+        return subprocess.Popen([program, "--settings", self.file], stdout=self.log, stderr=self.log,
+                                env={**os.environ, **self.environment})
 
     def stop(self, how="kill"):
         getattr(self.process, how)()
