Settings: numbers of a platform of any size

Change: amounts may have a fraction and are bounded only to keep arithmetic in range; a field without a value has its default; whole numbers may be written with a fraction of zero.

--- a/include/kumquathaven/settings/settings.h
+++ b/include/kumquathaven/settings/settings.h
@@ -29,6 +29,9 @@
 /// Reads "host:port". Returns an address with port 0 if the text is not one.
 Address parseAddress(const std::string &text);
 
+/// Returns whether an address has a port and its host is an IPv4 or IPv6 address.
+bool isIpAddress(const Address &address);
+
 /// A control member as every instance knows it from its settings.
 struct Member
 {
@@ -112,13 +115,13 @@
     /// Sends of one request beyond its first: a ratio of the requests plus a slack, over a window
     /// and all instances together.
     double retryRatio = 0.2;
-    std::uint32_t retrySlack = 50;
+    double retrySlack = 50;
     Duration retryWindow = std::chrono::seconds(10);
     /// Tokens that customers may get beyond rate and burst in a window, over all instances
     /// together.
-    std::uint32_t limitSlackTokens = 0;
+    double limitSlackTokens = 0;
     /// Memory that the process may use.
-    std::uint32_t memoryMb = 256;
+    double memoryMb = 256;
     /// Descriptors that the process may have open.
     std::uint32_t maxDescriptors = 4096;
 };
--- a/lib/settings/platform.cpp
+++ b/lib/settings/platform.cpp
@@ -9,6 +9,13 @@
 using std::chrono::seconds;
 
 constexpr std::size_t maxSeeds = 16;
+// Bounds that only keep arithmetic in range: deployments of any size have their own values, which
+// may have a fraction, since a platform may scale them.
+constexpr Duration minTime = milliseconds(1);
+constexpr Duration maxTime = minutes(24 * 60);
+constexpr double maxAmount = 1e15;
+constexpr double minRate = 0.001;
+constexpr double maxRate = 1e9;
 
 void readSeeds(MapReader &reader, Platform &platform, Problems &problems)
 {
@@ -33,8 +40,8 @@
         return;
     MapReader reader(node, "platform.serverList", problems);
     reader.address("address", platform.serverList, true);
-    reader.number("callsPerSecond", platform.listCallsPerSecond, 0.1, 100000);
-    reader.duration("lag", platform.listLag, milliseconds(0), minutes(1));
+    reader.number("callsPerSecond", platform.listCallsPerSecond, minRate, maxRate);
+    reader.duration("lag", platform.listLag, milliseconds(0), minutes(10));
     reader.finish();
 }
 
@@ -45,19 +52,19 @@
         return;
     MapReader reader(node, "platform.retries", problems);
     reader.number("ratio", platform.retryRatio, 0, 10);
-    reader.integer("slack", platform.retrySlack, 0, 1000000);
-    reader.duration("window", platform.retryWindow, milliseconds(100), minutes(10));
+    reader.number("slack", platform.retrySlack, 0, maxAmount);
+    reader.duration("window", platform.retryWindow, minTime, maxTime);
     reader.finish();
 }
 
 void readTimes(MapReader &reader, Platform &platform)
 {
-    reader.duration("drainTime", platform.drainTime, milliseconds(100), minutes(10));
-    reader.duration("stopGrace", platform.stopGrace, milliseconds(100), minutes(10));
-    reader.duration("inForceTime", platform.inForceTime, milliseconds(100), minutes(10));
-    reader.duration("weightsTime", platform.weightsTime, milliseconds(100), minutes(10));
-    reader.duration("orderLease", platform.orderLease, milliseconds(100), minutes(10));
-    reader.duration("maxEntriesTtl", platform.maxEntriesTtl, milliseconds(100), minutes(10));
+    reader.duration("drainTime", platform.drainTime, minTime, maxTime);
+    reader.duration("stopGrace", platform.stopGrace, minTime, maxTime);
+    reader.duration("inForceTime", platform.inForceTime, minTime, maxTime);
+    reader.duration("weightsTime", platform.weightsTime, minTime, maxTime);
+    reader.duration("orderLease", platform.orderLease, minTime, maxTime);
+    reader.duration("maxEntriesTtl", platform.maxEntriesTtl, minTime, maxTime);
 }
 
 } // namespace
@@ -72,7 +79,7 @@
     readSeeds(reader, platform, problems);
     reader.flag("firstStart", platform.isFirstStart);
     reader.flag("checksFencing", platform.checksFencing);
-    reader.integer("lossesTolerated", platform.lossesTolerated, 0, 100);
+    reader.integer("lossesTolerated", platform.lossesTolerated, 0, 10000);
     const bool isControl = role == Role::Control;
     for (const char *it : {"declarations", "directory"}) {
         if (!isControl && reader.has(it))
@@ -85,9 +92,9 @@
     readServerList(reader, platform, problems);
     readTimes(reader, platform);
     readRetries(reader, platform, problems);
-    reader.integer("limitSlackTokens", platform.limitSlackTokens, 0, 1000000000);
-    reader.integer("memoryMb", platform.memoryMb, 16, 1000000);
-    reader.integer("maxDescriptors", platform.maxDescriptors, 256, 10000000);
+    reader.number("limitSlackTokens", platform.limitSlackTokens, 0, maxAmount);
+    reader.number("memoryMb", platform.memoryMb, 1, maxAmount);
+    reader.integer("maxDescriptors", platform.maxDescriptors, 64, 1000000000);
     reader.finish();
     return platform;
 }
--- a/lib/settings/reader.cpp
+++ b/lib/settings/reader.cpp
@@ -1,6 +1,7 @@
 #include "reader.h"
 
 #include <charconv>
+#include <cmath>
 #include <optional>
 
 namespace kumquathaven::settings {
@@ -52,6 +53,19 @@
     return std::nullopt;
 }
 
+// Reads a whole number, which may be written as "4100", "4100.0" or "4.1e3".
+std::optional<std::uint64_t> wholeNumber(const std::string &text)
+{
+    if (const auto whole = withUnit(text, std::array<Unit, 1>{{{"", 1}}}))
+        return whole;
+    double number = 0;
+    const char *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, number);
+    const bool isWhole = parsed.ec == std::errc() && parsed.ptr == end && number >= 0
+        && number <= UINT32_MAX && number == std::floor(number);
+    return isWhole ? std::make_optional(static_cast<std::uint64_t>(number)) : std::nullopt;
+}
+
 std::string durationText(Duration d)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(d).count()) + "ms";
@@ -95,7 +109,8 @@
 {
     m_known.insert(field);
     const YAML::Node node = m_node[field];
-    if (!node.IsDefined()) {
+    // A template leaves a field without a value where it has none to fill in.
+    if (!node.IsDefined() || node.IsNull()) {
         if (required)
             problem(field, "is missing");
         return YAML::Node(YAML::NodeType::Undefined);
@@ -125,7 +140,7 @@
     const YAML::Node node = scalar(field, false);
     if (!node.IsDefined())
         return;
-    const auto number = withUnit(node.Scalar(), std::array<Unit, 1>{{{"", 1}}});
+    const auto number = wholeNumber(node.Scalar());
     if (!number || *number < min || *number > max) {
         problem(field,
                 "\"" + node.Scalar() + "\" is not a whole number from " + std::to_string(min)
--- a/lib/settings/settings.cpp
+++ b/lib/settings/settings.cpp
@@ -3,6 +3,9 @@
 #include "platform.h"
 #include "reader.h"
 
+#include <arpa/inet.h>
+
+#include <array>
 #include <charconv>
 #include <fstream>
 #include <set>
@@ -257,6 +260,14 @@
     return {text.substr(0, colon), port};
 }
 
+bool isIpAddress(const Address &address)
+{
+    std::array<unsigned char, sizeof(in6_addr)> bytes{};
+    return address.port != 0
+        && (::inet_pton(AF_INET, address.host.c_str(), bytes.data()) == 1
+            || ::inet_pton(AF_INET6, address.host.c_str(), bytes.data()) == 1);
+}
+
 Result<Settings> parseSettings(const std::string &text, const std::string &name)
 {
     YAML::Node root;
