HTTP: the unparsed part of a message is bounded

Cause: the size line, extensions and trailer of chunks were buffered without a bound while they did not end. Change: more unparsed bytes than a head may have are malformed.

--- a/lib/http/message.cpp
+++ b/lib/http/message.cpp
@@ -146,12 +146,14 @@
     std::unique_ptr<Collector<false>> answer;
     ParseState state = ParseState::Open;
     std::string waiting;
+    std::size_t maxWaitingBytes = 0;
     bool hasBegun = false;
 };
 
 MessageParser::MessageParser(MessageSide side, MessageBounds bounds)
     : m_impl(std::make_unique<Impl>())
 {
+    m_impl->maxWaitingBytes = bounds.maxHeadBytes;
     const auto prepare = [&bounds](auto &parser) {
         parser->eager(true);
         parser->header_limit(bounds.maxHeadBytes);
@@ -178,6 +180,9 @@
         return m_impl->state;
     m_impl->state = m_impl->request ? advance(*m_impl->request, m_impl->waiting, body)
                                     : advance(*m_impl->answer, m_impl->waiting, body);
+    // Only an unfinished head, the line before a chunk, or a trailer waits for more bytes.
+    if (m_impl->state == ParseState::Open && m_impl->waiting.size() > m_impl->maxWaitingBytes)
+        m_impl->state = hasHead() ? ParseState::Malformed : ParseState::HeadTooLarge;
     return m_impl->state;
 }
 
--- a/unittests/http/messagetest.cpp
+++ b/unittests/http/messagetest.cpp
@@ -125,3 +125,58 @@
     std::string body;
     CHECK(parse(MessageSide::Answer, "rubbish\r\n\r\n", body) == ParseState::Malformed);
 }
+
+TEST_CASE("bytes without an end are refused with a bounded buffer, whatever part they belong to")
+{
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::pair<std::string, std::string>> rows = {
+        {"the status line", "HTTP/1.1 200 "},          {"no line at all", ""},
+        {"a field", "HTTP/1.1 200 OK\r\nA: "},         {"the size of a chunk", chunked},
+        {"an extension of a chunk", chunked + "3;x="}, {"a trailer", chunked + "0\r\nX-Late: "},
+    };
+    for (const auto &[name, start] : rows) {
+        CAPTURE(name);
+        for (const std::size_t step : {std::size_t{1}, std::size_t{1000}}) {
+            MessageBounds bounds;
+            bounds.maxHeadBytes = 4'000;
+            MessageParser parser(MessageSide::Answer, bounds);
+            std::string body;
+            ParseState state = start.empty() ? ParseState::Open : parser.feed(start, body);
+            std::size_t sent = 0;
+            while (state == ParseState::Open && sent < 100'000) {
+                state = parser.feed(std::string(step, '0'), body);
+                sent += step;
+            }
+            CHECK(state != ParseState::Open);
+            CHECK(state != ParseState::Done);
+            CHECK(sent < 10'000);
+            CHECK(body.empty());
+        }
+    }
+}
+
+TEST_CASE("fields without an end are refused")
+{
+    MessageParser parser(MessageSide::Answer);
+    std::string body;
+    ParseState state = parser.feed("HTTP/1.1 200 OK\r\n", body);
+    for (int n = 0; n < 10'000 && state == ParseState::Open; ++n)
+        state = parser.feed("X-A: 1\r\n", body);
+    CHECK(state == ParseState::HeadTooLarge);
+}
+
+TEST_CASE("a body past its bound is refused, with a length, in chunks or without either")
+{
+    for (const std::string fields :
+         {"Content-Length: 5000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n1388\r\n", "\r\n"}) {
+        MessageBounds bounds;
+        bounds.maxBodyBytes = 1'000;
+        MessageParser parser(MessageSide::Answer, bounds);
+        std::string body;
+        ParseState state = parser.feed("HTTP/1.1 200 OK\r\n" + fields, body);
+        for (int n = 0; n < 50 && state == ParseState::Open; ++n)
+            state = parser.feed(std::string(100, 'x'), body);
+        CHECK(state == ParseState::BodyTooLarge);
+        CHECK(body.size() <= 1'100);
+    }
+}
