--- a/include/kumquathaven/deployment/request.h
+++ b/include/kumquathaven/deployment/request.h
@@ -76,6 +76,10 @@
     /// Id of the request that was answered; empty if the answer does not contain it.
     std::string requestId;
     std::optional<std::uint64_t> weights;
+    /// The server is about to stop and wants no new requests.
+    bool isLeaving = false;
+    /// The server refused the request and accepts none from this instance for this time.
+    std::optional<Duration> pause;
     /// Time for which the server keeps an idle connection open, if the answer contains it.
     std::optional<Duration> keepAlive;
 };
