Gateway: leaving and pausing servers, endless bytes, callers accepted while an entry stops

Cause: a server's statements that it leaves, or wants no requests for a time, were passed on but not heeded. A page of the list was buffered without a bound. A second copy of an answer without an id could be taken for the answer of the next request on its connection. An entry that stopped closed its listening socket with connections waiting in it, and its loop as soon as nothing ran, so that requests just sent were reset. Change: leaving starts get nothing new, here and at peers; a pause is kept for its whole length, and callers learn when it ends; pages are bounded to 4 MiB; on a reused connection an answer needs its id; connections that wait are accepted before the socket closes, and requests on open connections are answered for 300 ms more.

--- a/lib/gateway/exchange.cpp
+++ b/lib/gateway/exchange.cpp
@@ -118,13 +118,16 @@
     if (m_isHeadSent) {
         m_gateway.counters.cut.add();
         const auto caller = m_caller.lock();
+        // An answer that is no stream arrives at once: this one is too slow or does not end.
+        if (!isStream())
+            endAttempt(AttemptEnd::Cut);
         close(telemetry::LogLevel::Warn, "cut at the deadline");
         if (caller)
             caller->abort();
         return;
     }
     const std::string server = m_pick ? m_pick->serverId : std::string();
-    endAttempt(AttemptEnd::Abandoned);
+    endAttempt(m_hasFirstToken && !isStream() ? AttemptEnd::Cut : AttemptEnd::Abandoned);
     refuse({ErrorCode::DeadlineExceeded,
             "gateway.deadline",
             server,
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -62,6 +62,7 @@
 
     // exchangeanswer.cpp: answers of servers.
     void handleHead(const http::Head &head, const deployment::AnswerHead &answer);
+    void recordServerState(const deployment::AnswerHead &answer);
     void handleNotRun(const deployment::AnswerHead &answer);
     void handleBody(std::string_view bytes);
     void handleEnd();
--- a/lib/gateway/exchangeanswer.cpp
+++ b/lib/gateway/exchangeanswer.cpp
@@ -22,6 +22,7 @@
 
 void Exchange::handleHead(const http::Head &head, const deployment::AnswerHead &answer)
 {
+    recordServerState(answer);
     if (answer.isNotRun) {
         handleNotRun(answer);
         return;
@@ -51,6 +52,19 @@
     m_answerHead = head;
 }
 
+/// Records what an answer says about the server itself, unless another server sent it.
+void Exchange::recordServerState(const deployment::AnswerHead &answer)
+{
+    const TimePoint now = monotonicNow();
+    const bool isOther = !answer.serverId.empty() && answer.serverId != m_pick->serverId;
+    if (isOther)
+        return;
+    if (answer.isLeaving)
+        recordLeaving(m_gateway.servers, *m_pick, now);
+    if (answer.pause)
+        recordPauseRequest(m_gateway.servers, *m_pick, *answer.pause, now);
+}
+
 void Exchange::handleNotRun(const deployment::AnswerHead &answer)
 {
     const bool isOther =
@@ -67,12 +81,19 @@
         handleFailure(CallFailure::Cut);
         return;
     }
+    const TimePoint now = monotonicNow();
+    // The caller's next attempt may go to the servers that this one was sent to.
+    const PickRequest next{&m_plan->plan, m_route, &m_callerHead, m_customer, {}, m_deadline};
+    Duration retryAfter = serverFullRetryAfter;
+    if (!canPick(m_gateway.servers, next, now))
+        retryAfter = std::max(retryAfter,
+                              timeToPauseEnd(m_gateway.servers, next, now).value_or(Duration(0)));
     refuse({ErrorCode::Overloaded,
             "gateway.answer",
             {},
             "the server does not accept requests now",
             m_outcome,
-            serverFullRetryAfter});
+            retryAfter});
 }
 
 void Exchange::handleBody(std::string_view bytes)
--- a/lib/gateway/exchangesend.cpp
+++ b/lib/gateway/exchangesend.cpp
@@ -25,10 +25,16 @@
 constexpr Duration minTimeLeft = std::chrono::milliseconds(20);
 constexpr std::uint32_t maxUrgency = 9;
 
-Error busyError(Outcome outcome)
+/// Returns the error for a request that no server accepts; \p pause is the time until a server that
+/// asked for a pause accepts requests again.
+Error busyError(Outcome outcome, std::optional<Duration> pause)
 {
-    return {ErrorCode::NoUpstream, "gateway.send", {}, "no server accepts the request now", outcome,
-            serversBusyRetryAfter};
+    return {ErrorCode::NoUpstream,
+            "gateway.send",
+            {},
+            "no server accepts the request now",
+            outcome,
+            std::max(serversBusyRetryAfter, pause.value_or(Duration(0)))};
 }
 
 /// Returns the error for a request that is refused because its answer would be late.
@@ -68,7 +74,7 @@
     else if (!pickForFirstAttempt(request, now))
         return;
     if (!m_pick) {
-        refuse(busyError(m_outcome));
+        refuse(busyError(m_outcome, timeToPauseEnd(m_gateway.servers, request, now)));
         return;
     }
     if (m_attempts == 0)
--- a/lib/gateway/gatewayrole.cpp
+++ b/lib/gateway/gatewayrole.cpp
@@ -20,6 +20,7 @@
 #include <atomic>
 #include <cstdlib>
 #include <thread>
+#include <utility>
 
 namespace kumquathaven::gateway {
 
@@ -30,6 +31,9 @@
 /// Minimum time for which a leaving entry accepts requests, since callers cache the names of
 /// entries for a few seconds. Requests accepted in that time still finish within the grace period.
 constexpr Duration minLeavingTime = std::chrono::milliseconds(2800);
+/// Time between the end of accepting connections and the end of the loop. Requests that arrive on
+/// open connections in that time are answered.
+constexpr Duration lingerTime = std::chrono::milliseconds(300);
 /// The process ends this long before the platform would kill it.
 constexpr Duration graceMargin = std::chrono::milliseconds(400);
 constexpr Duration leavingPoll = std::chrono::milliseconds(100);
@@ -80,6 +84,8 @@
     boost::asio::steady_timer timer;
     catalogue::Snapshot lastSnapshot;
     TimePoint nextSweep{};
+    /// When the entry stopped to accept connections and requests.
+    TimePoint stoppedAcceptingAt{};
     std::atomic<bool> isReady{false};
     std::atomic<bool> isDraining{false};
     std::atomic<bool> hasEnded{false};
@@ -287,12 +293,15 @@
 void GatewayRole::Impl::endLoop(bool isForced)
 {
     boost::asio::post(gateway.loop, [this, isForced] {
+        const TimePoint now = monotonicNow();
         // New callers turn to another entry; connected callers are asked to close their
         // connections.
         listener.stopAccepting();
-        gateway.acceptsRequests = false;
+        if (std::exchange(gateway.acceptsRequests, false))
+            stoppedAcceptingAt = now;
         running = gateway.running;
-        if (gateway.running > 0 && !isForced)
+        const bool isIdle = gateway.running == 0 && now - stoppedAcceptingAt >= lingerTime;
+        if (!isIdle && !isForced)
             return;
         stopSignal.request();
         listener.stop();
--- a/lib/gateway/listener.cpp
+++ b/lib/gateway/listener.cpp
@@ -60,14 +60,15 @@
                           [this](const boost::system::error_code &ec) {
                               if (ec)
                                   return;
-                              acceptAll();
+                              acceptAll(acceptsPerTurn);
                               waitForCaller();
                           });
 }
 
-void Listener::acceptAll()
+/// Accepts the connections that wait, at most \p most.
+void Listener::acceptAll(int most)
 {
-    for (int n = 0; n < acceptsPerTurn; ++n) {
+    for (int n = 0; n < most; ++n) {
         boost::system::error_code ec;
         boost::asio::ip::tcp::socket socket = m_acceptor.accept(ec);
         if (ec)
@@ -90,6 +91,11 @@
 
 void Listener::stopAccepting()
 {
+    if (!m_acceptor.is_open())
+        return;
+    // Closing resets the connections that wait to be accepted, although their callers may have sent
+    // a request already.
+    acceptAll(backlog);
     boost::system::error_code ec;
     m_acceptor.close(ec);
 }
--- a/lib/gateway/listener.h
+++ b/lib/gateway/listener.h
@@ -37,7 +37,7 @@
 
 private:
     void waitForCaller();
-    void acceptAll();
+    void acceptAll(int most);
 
     Gateway &m_gateway;
     boost::asio::ip::tcp::acceptor m_acceptor;
--- a/lib/gateway/pick.cpp
+++ b/lib/gateway/pick.cpp
@@ -100,10 +100,11 @@
 };
 
 bool acceptsRequest(const Servers &servers, const PickRequest &request, const std::string &start,
-                    const KnownServer &server)
+                    const KnownServer &server, TimePoint now)
 {
     const routing::UpstreamView &view = servers.fleet.upstreams[server.slot];
-    return !view.leaving && !view.loading && request.tried.count(start) == 0
+    return !view.leaving && !view.loading && server.pausedUntil <= now
+        && request.tried.count(start) == 0
         && routing::takesWork(view.health, deployment::isRepeatable(*request.route));
 }
 
@@ -115,7 +116,8 @@
     std::vector<Candidate> candidates;
     std::vector<Candidate> refusing;
     for (const auto &[start, server] : servers.known) {
-        if (server.listed.service != service || !acceptsRequest(servers, request, start, server))
+        if (server.listed.service != service
+            || !acceptsRequest(servers, request, start, server, now))
             continue;
         (server.refusesUntil > now ? refusing : candidates).push_back({&start, &server});
     }
@@ -386,6 +388,22 @@
     return result;
 }
 
+std::optional<Duration> timeToPauseEnd(const Servers &servers, const PickRequest &request,
+                                       TimePoint now)
+{
+    std::optional<Duration> shortest;
+    for (const std::string &name : servicesOf(request)) {
+        for (const auto &[start, server] : servers.known) {
+            const Duration left = server.pausedUntil - now;
+            const bool isPaused = left > Duration(0) && server.listed.service == name;
+            if (!isPaused || !acceptsRequest(servers, request, start, server, server.pausedUntil))
+                continue;
+            shortest = shortest ? std::min(*shortest, left) : left;
+        }
+    }
+    return shortest;
+}
+
 bool canPick(const Servers &servers, const PickRequest &request, TimePoint now)
 {
     for (const std::string &name : servicesOf(request)) {
--- a/lib/gateway/serverlist.cpp
+++ b/lib/gateway/serverlist.cpp
@@ -17,6 +17,8 @@
 constexpr Duration pageTimeout = std::chrono::milliseconds(800);
 constexpr Duration retryInterval = std::chrono::milliseconds(500);
 constexpr std::uint32_t maxPages = 400;
+/// A page of the list has some tens of kilobytes.
+constexpr std::uint64_t maxPageBytes = 4 * 1024 * 1024;
 constexpr const char *connectionName = "list";
 
 } // namespace
@@ -72,6 +74,7 @@
     request.address = m_gateway.settings.platform->serverList;
     request.start = connectionName;
     request.mayReuse = true;
+    request.maxBodyBytes = maxPageBytes;
     request.bytes = http::requestHead("GET", m_gateway.dialect.servers.listPath(m_page),
                                       {{"Host", settings::toString(request.address)}});
     CallEvents events;
--- a/lib/gateway/servers.cpp
+++ b/lib/gateway/servers.cpp
@@ -23,6 +23,8 @@
 /// instances.
 constexpr std::size_t maxUnreportedStoreUpdates = 1'000;
 constexpr std::size_t maxUnreportedObservations = 256;
+/// How long a start that said that it leaves is remembered after it has left the list.
+constexpr Duration leavingMemory = std::chrono::minutes(10);
 /// How long a server that refused a request gets no others: about the time in which it drains a
 /// queue or loads new weights. Then one request shows whether it still refuses.
 constexpr Duration refusalPause = std::chrono::milliseconds(250);
@@ -73,7 +75,8 @@
 void refresh(Servers &servers, const std::string &start, KnownServer &server)
 {
     routing::UpstreamView &view = servers.fleet.upstreams[server.slot];
-    view.leaving = server.listed.isDraining || server.isMoved;
+    view.leaving =
+        server.listed.isDraining || server.isMoved || servers.leavingSince.count(start) > 0;
     view.loading = false;
     if (server.listed.weights.empty())
         return;
@@ -147,6 +150,27 @@
     return true;
 }
 
+/// Marks a start as leaving. Returns whether that is new.
+bool markLeaving(Servers &servers, const std::string &start, TimePoint now)
+{
+    if (!servers.leavingSince.try_emplace(start, now).second)
+        return false;
+    const auto it = servers.known.find(start);
+    if (it != servers.known.end())
+        refresh(servers, start, it->second);
+    return true;
+}
+
+/// Forgets starts that said long ago that they leave and that are not listed any more.
+void forgetDeparted(Servers &servers, TimePoint now)
+{
+    for (auto it = servers.leavingSince.begin(); it != servers.leavingSince.end();) {
+        const bool isDeparted =
+            servers.known.count(it->first) == 0 && now - it->second > leavingMemory;
+        it = isDeparted ? servers.leavingSince.erase(it) : std::next(it);
+    }
+}
+
 /// Applies a change of a prompt in the store and queues it for the other instances.
 void recordStoreUpdate(Servers &servers, const StoreUpdate &update, TimePoint now)
 {
@@ -195,7 +219,9 @@
     std::set<std::string> present;
     for (const deployment::ListedServer &it : list) {
         const std::string start = deployment::startIdOf(it);
-        present.insert(start);
+        // Of two entries for one start only the first one counts.
+        if (!present.insert(start).second)
+            continue;
         KnownServer &server = servers.known[start];
         const bool isNew = server.listed.id.empty();
         server.listed = it;
@@ -215,6 +241,7 @@
         it = servers.known.erase(it);
     }
     servers.listReadAt = now;
+    forgetDeparted(servers, now);
 }
 
 void applyCatalogue(Servers &servers, std::shared_ptr<const catalogue::Catalogue> catalogue,
@@ -376,6 +403,19 @@
     refresh(servers, it->first, it->second);
 }
 
+void recordLeaving(Servers &servers, const Pick &pick, TimePoint now)
+{
+    if (markLeaving(servers, pick.start, now))
+        queueObservation(servers, {pick.start, ObservationKind::Leaving, {}, 0});
+}
+
+void recordPauseRequest(Servers &servers, const Pick &pick, Duration pause, TimePoint now)
+{
+    const auto it = servers.known.find(pick.start);
+    if (it != servers.known.end())
+        it->second.pausedUntil = std::max(it->second.pausedUntil, now + pause);
+}
+
 void recordWeights(Servers &servers, const Pick &pick, const std::string &model,
                    std::uint64_t version)
 {
@@ -387,6 +427,8 @@
 void applyObservation(Servers &servers, const std::string &peer,
                       const ServerObservation &observation, TimePoint now)
 {
+    if (observation.kind == ObservationKind::Leaving)
+        markLeaving(servers, observation.start, now);
     const auto it = servers.known.find(observation.start);
     if (it == servers.known.end())
         return;
@@ -400,6 +442,8 @@
     case ObservationKind::Weights:
         updateVersion(servers, it->first, it->second, observation.model, observation.version);
         break;
+    case ObservationKind::Leaving:
+        break;
     }
 }
 
--- a/lib/gateway/servers.h
+++ b/lib/gateway/servers.h
@@ -51,6 +51,9 @@
     /// Until this time the server gets requests only if no other server accepts them, because it
     /// refused a request.
     TimePoint refusesUntil{};
+    /// Until this time the server gets no requests of this instance at all, because it asked for
+    /// that when it refused one.
+    TimePoint pausedUntil{};
     /// When each instance last observed that the server accepts no connections, by instance name;
     /// the name of this instance is empty.
     std::map<std::string, TimePoint> unreachableObservedAt;
@@ -88,12 +91,15 @@
     Unreachable,
     /// The server has another weights version than expected.
     Weights,
+    /// The server said that it is about to stop.
+    Leaving,
 };
 
-constexpr std::array<EnumName<ObservationKind>, 3> observationKindNames = {{
+constexpr std::array<EnumName<ObservationKind>, 4> observationKindNames = {{
     {ObservationKind::Refuses, "refuses"},
     {ObservationKind::Unreachable, "unreachable"},
     {ObservationKind::Weights, "weights"},
+    {ObservationKind::Leaving, "leaving"},
 }};
 
 struct ServerObservation
@@ -148,6 +154,9 @@
     /// Weights versions that servers returned in their answers, by start and model. They are newer
     /// than the list and the catalogue.
     std::map<std::string, std::uint64_t> observedVersions;
+    /// When servers said that they are about to stop, by start. Kept after a server has left the
+    /// list, which may name it again while it lags.
+    std::map<std::string, TimePoint> leavingSince;
     /// Addresses of the stores that can be reached. Prompts are fetched from these and saved there
     /// only.
     std::set<std::string> reachableStores;
@@ -299,6 +308,17 @@
 /// Records that another server answered at the address.
 void recordMoved(Servers &servers, const Pick &pick);
 
+/// Records that a server said that it is about to stop. It gets no new requests.
+void recordLeaving(Servers &servers, const Pick &pick, TimePoint now);
+
+/// Records that a server accepts no requests of this instance for a time.
+void recordPauseRequest(Servers &servers, const Pick &pick, Duration pause, TimePoint now);
+
+/// Returns the time until the first server of the route's services accepts requests of this
+/// instance again, or nothing if no server only waits for the end of such a pause.
+std::optional<Duration> timeToPauseEnd(const Servers &servers, const PickRequest &request,
+                                       TimePoint now);
+
 /// Records the weights version that a server returned.
 void recordWeights(Servers &servers, const Pick &pick, const std::string &model,
                    std::uint64_t version);
--- a/lib/gateway/storewatch.cpp
+++ b/lib/gateway/storewatch.cpp
@@ -3,6 +3,7 @@
 #include "kumquathaven/telemetry/log.h"
 
 #include <set>
+#include <string_view>
 #include <utility>
 
 namespace kumquathaven::gateway {
@@ -54,6 +55,11 @@
             }
             m_connection->setProbes(silenceLimit);
             http::ConnectionEvents events;
+            // Nothing was requested on this connection, so that the store sends nothing on it.
+            events.received = [this](std::string_view) {
+                std::exchange(m_connection, nullptr)->close();
+                m_nextConnectAt = monotonicNow() + retryInterval;
+            };
             events.ended = [this](http::ConnectionEnd end) {
                 m_connection.reset();
                 // An orderly close only means that the store closed an idle connection. After any
--- a/lib/gateway/upstreamcall.cpp
+++ b/lib/gateway/upstreamcall.cpp
@@ -16,13 +16,7 @@
 constexpr Duration silenceLimit = std::chrono::seconds(3);
 constexpr int firstFinalStatus = 200;
 
-http::MessageBounds answerBounds()
-{
-    http::MessageBounds bounds;
-    bounds.maxHeadBytes = 64 * 1024;
-    bounds.maxBodyBytes = std::uint64_t{1} << 40U;
-    return bounds;
-}
+constexpr std::uint32_t maxHeadBytes = 64 * 1024;
 
 } // namespace
 
@@ -37,7 +31,7 @@
 {
     m_request = std::move(request);
     m_events = std::move(events);
-    m_parser = std::make_unique<http::MessageParser>(http::MessageSide::Answer, answerBounds());
+    startParser();
     if (m_request.mayReuse)
         m_connection = m_pool.take(m_request.start, now);
     if (m_connection) {
@@ -84,8 +78,6 @@
             self->ended(end);
     };
     m_connection->setEvents(std::move(events));
-    if (m_request.isHead)
-        m_parser->expectNoBody();
     m_connection->write(std::move(m_request.bytes));
     m_connection->startReading();
 }
@@ -100,15 +92,14 @@
         const http::ParseState state = m_parser->feed(pending, body);
         pending.clear();
         if (m_parser->hasHead() && !m_hasReportedHead && !handleHead()) {
+            if (m_isFinished)
+                return;
             if (state == http::ParseState::Open)
                 return;
             // This was an interim answer or an answer to another request. The next answer may
             // follow in the same bytes.
             pending = m_parser->takeRest();
-            m_parser =
-                std::make_unique<http::MessageParser>(http::MessageSide::Answer, answerBounds());
-            if (m_request.isHead)
-                m_parser->expectNoBody();
+            startParser();
             if (pending.empty())
                 return;
             continue;
@@ -125,6 +116,17 @@
     }
 }
 
+/// Prepares to parse the next answer on the connection.
+void UpstreamCall::startParser()
+{
+    http::MessageBounds bounds;
+    bounds.maxHeadBytes = maxHeadBytes;
+    bounds.maxBodyBytes = m_request.maxBodyBytes;
+    m_parser = std::make_unique<http::MessageParser>(http::MessageSide::Answer, bounds);
+    if (m_request.isHead)
+        m_parser->expectNoBody();
+}
+
 /// Reports the head of the answer, unless it is interim or belongs to another request. Returns
 /// whether it was reported.
 bool UpstreamCall::handleHead()
@@ -133,6 +135,11 @@
     m_answer = m_readAnswer(head.status, head.fields);
     if (head.status < firstFinalStatus || isForOtherRequest())
         return false;
+    // On a reused connection an answer without an id may be a second copy of an earlier answer.
+    if (m_isReused && !m_request.requestId.empty() && m_answer.requestId.empty()) {
+        fail(CallFailure::Malformed);
+        return false;
+    }
     m_hasReportedHead = true;
     const auto onHead = m_events.head;
     onHead(head, m_answer);
@@ -141,7 +148,7 @@
 
 bool UpstreamCall::isForOtherRequest() const
 {
-    return !m_answer.requestId.empty() && !m_request.requestId.empty()
+    return !m_request.requestId.empty() && !m_answer.requestId.empty()
         && m_answer.requestId != m_request.requestId;
 }
 
--- a/lib/gateway/upstreamcall.h
+++ b/lib/gateway/upstreamcall.h
@@ -12,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -46,6 +47,8 @@
     /// Whether an idle connection may be reused.
     bool mayReuse = false;
     Duration connectTimeout = std::chrono::milliseconds(300);
+    /// A longer body is malformed.
+    std::uint64_t maxBodyBytes = std::uint64_t{1} << 40U;
 };
 
 /// Callbacks of a call. None is called after done() or failed(), or after cancel().
@@ -89,6 +92,7 @@
     void ended(http::ConnectionEnd end);
     bool handleHead();
     bool isForOtherRequest() const;
+    void startParser();
     void finish();
     void fail(CallFailure failure);
     void endCall();
