--- a/include/kumquathaven/settings/settings.h
+++ b/include/kumquathaven/settings/settings.h
@@ -120,6 +120,8 @@
     /// Tokens that customers may get beyond rate and burst in a window, over all instances
     /// together.
     double limitSlackTokens = 0;
+    /// Part of a processor that the process may use. Zero: not told.
+    double processorShare = 0;
     /// Memory that the process may use.
     double memoryMb = 256;
     /// Descriptors that the process may have open.
--- a/lib/control/declarations.cpp
+++ b/lib/control/declarations.cpp
@@ -1,6 +1,7 @@
 #include "declarations.h"
 
 #include "awaitcommand.h"
+#include "callerentries.h"
 
 #include "kumquathaven/catalogue/json.h"
 #include "kumquathaven/telemetry/log.h"
@@ -18,8 +19,6 @@
 /// Maximum wait for the log. Operators try another member after one second without an answer. A
 /// command that takes longer is acknowledged when the operator sends it again.
 constexpr Duration maxWait = std::chrono::milliseconds(2500);
-/// Maximum number of entry addresses in one answer to a caller.
-constexpr std::size_t maxEntries = 64;
 /// How long a caller may cache an answer. It is short, so that callers soon stop using entries that
 /// leave.
 constexpr Duration entriesTtl = std::chrono::seconds(2);
@@ -153,29 +152,13 @@
     return status.configuration.voters.size() >= 2 * std::size_t{lossesTolerated} + 1;
 }
 
-std::vector<std::string> entriesFor(const catalogue::Instances &instances,
-                                    const deployment::DirectoryCall &call, std::size_t maxCount)
-{
-    std::vector<std::string> inDomain;
-    std::vector<std::string> elsewhere;
-    for (const auto &[name, it] : instances.entries) {
-        const bool serves =
-            it.state == catalogue::InstanceState::Serving && instances.hinted.count(name) == 0;
-        if (serves)
-            (it.failureDomain == call.failureDomain ? inDomain : elsewhere).push_back(it.callers);
-    }
-    inDomain.insert(inDomain.end(), elsewhere.begin(), elsewhere.end());
-    inDomain.resize(std::min(inDomain.size(), maxCount));
-    return inDomain;
-}
-
 void handleDirectory(const DeclarationsContext &context, runtime::HttpExchange &exchange)
 {
     exchange.reply(orElse(
         [&]() -> Result<HttpReply> {
             BOOST_LEAF_AUTO(call, context.dialect.control.readDirectoryCall(exchange.request()));
-            const auto entries =
-                entriesFor(*context.machine.published().instances, call, maxEntries);
+            const auto entries = entriesForCaller(*context.machine.published().instances,
+                                                  call.failureDomain, exchange.request().peer);
             if (entries.empty())
                 return fail({ErrorCode::Unavailable,
                              "directory.find",
--- a/lib/control/declarations.h
+++ b/lib/control/declarations.h
@@ -41,11 +41,6 @@
 bool hasEnoughVoters(const LogStatus &status, const catalogue::Declaration &held,
                      std::uint32_t lossesTolerated);
 
-/// Returns the caller-facing addresses of at most \p maxCount serving entries, those in the
-/// caller's failure domain first. Entries with a hint that they are leaving are left out.
-std::vector<std::string> entriesFor(const catalogue::Instances &instances,
-                                    const deployment::DirectoryCall &call, std::size_t maxCount);
-
 } // namespace kumquathaven::control
 
 #endif // KUMQUATHAVEN_LIB_CONTROL_DECLARATIONS_H
--- a/lib/feed/client.cpp
+++ b/lib/feed/client.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <atomic>
 #include <cassert>
+#include <cmath>
 #include <mutex>
 #include <random>
 #include <thread>
@@ -53,6 +54,18 @@
     return times;
 }
 
+/// Returns the capacity of this instance relative to the other entries.
+std::uint32_t weightOf(const settings::Settings &settings)
+{
+    // The weight of a whole processor, fine enough for entries with a few hundredths of one.
+    constexpr double processorWeight = 1'000;
+    constexpr double maxWeight = 1e6;
+    if (!settings.platform || settings.platform->processorShare <= 0)
+        return settings.weight;
+    const double weight = settings.platform->processorShare * processorWeight;
+    return static_cast<std::uint32_t>(std::clamp(std::round(weight), 1.0, maxWeight));
+}
+
 } // namespace
 
 catalogue::Instance configuredInstance(const settings::Settings &settings)
@@ -63,7 +76,7 @@
     self.failureDomain = settings.failureDomain;
     self.callers = settings::toString(settings::reachableCallers(settings));
     self.link = settings::toString(settings::reachableLink(settings));
-    self.weight = settings.weight;
+    self.weight = weightOf(settings);
     return self;
 }
 
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -30,6 +30,9 @@
                           "answers that were begun and could not be finished"))
     , malformed(metrics.counter("kumquathaven_requests_malformed_total",
                                 "requests that were not understood"))
+    , malformedFrames(metrics.counter("kumquathaven_entry_frames_malformed_total",
+                                      "frames of other entries that were not understood",
+                                      {{"channel", "slices"}}))
     , times{timesOfKind(metrics, deployment::RequestKind::Idempotent),
             timesOfKind(metrics, deployment::RequestKind::NonIdempotent),
             timesOfKind(metrics, deployment::RequestKind::Streaming)}
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -56,6 +56,7 @@
     telemetry::Counter &retried;
     telemetry::Counter &cut;
     telemetry::Counter &malformed;
+    telemetry::Counter &malformedFrames;
     /// By kind of request.
     std::array<KindTimes, deployment::requestKindNames.size()> times;
 
--- a/lib/gateway/gatewayrole.cpp
+++ b/lib/gateway/gatewayrole.cpp
@@ -7,7 +7,6 @@
 
 #include "kumquathaven/base/walltime.h"
 #include "kumquathaven/feed/client.h"
-#include "kumquathaven/feed/peerlinks.h"
 #include "kumquathaven/runtime/httpserver.h"
 #include "kumquathaven/runtime/supervisor.h"
 #include "kumquathaven/telemetry/log.h"
@@ -72,7 +71,6 @@
     catalogue::Instance self;
     wire::Hub hub;
     feed::FeedClient feed;
-    feed::PeerLinks peerLinks;
     TokenLimits limits;
     Gateway gateway;
     PeerMessages peers;
@@ -100,13 +98,9 @@
     , self(feed::startingInstance(settings))
     , hub(hubOptions(settings, self.incarnation))
     , feed(settings, hub, view, self)
-    , peerLinks(settings.instance, hub)
-    , limits(settings.instance, self.incarnation, settings.platform->limitSlackTokens,
-             [this](const std::string &to, const std::string &body) {
-                 peerLinks.send(to, limitsFrame(body));
-             })
+    , limits(settings.platform->limitSlackTokens)
     , gateway(settings, dialect, metrics, limits)
-    , peers(settings.instance, gateway, peerLinks)
+    , peers(self, gateway, hub)
     , stores(gateway)
     , listener(gateway)
     , probes({probeThreads},
@@ -121,9 +115,19 @@
     , duties("gateway", runtime::RestartPolicy{0})
 {
     wire::ChannelHandlers handlers;
+    handlers.opened = [this](const wire::Peer &peer) {
+        boost::asio::post(gateway.loop, [this, peer] {
+            peers.opened(peer);
+        });
+    };
+    handlers.closed = [this](const wire::Peer &peer) {
+        boost::asio::post(gateway.loop, [this, peer] {
+            peers.closed(peer, monotonicNow());
+        });
+    };
     handlers.received = [this](const wire::Peer &peer, const wire::Frame &frame) {
-        boost::asio::post(gateway.loop, [this, name = peer.name, it = frame] {
-            peers.handleMessage(name, it, monotonicNow());
+        boost::asio::post(gateway.loop, [this, peer, it = frame] {
+            peers.received(peer, it, monotonicNow());
         });
     };
     hub.handle(wire::Channel::Slices, std::move(handlers));
@@ -195,7 +199,6 @@
 {
     const TimePoint now = monotonicNow();
     applyView(now);
-    limits.tick(now);
     peers.tick(now);
     stores.tick(now);
     gateway.isDraining = isDraining;
@@ -236,12 +239,10 @@
     const bool isNewPlan = snapshot.catalogue->declaration.text
         && (!gateway.plan || gateway.plan->plan.version < version);
     if (snapshot.instances != lastSnapshot.instances) {
-        peerLinks.keep(*snapshot.instances);
-        peers.updateInstances(*snapshot.instances, now);
-        limits.updateInstances(*snapshot.instances);
         gateway.retryRules.instances = static_cast<std::uint32_t>(
             std::max<std::size_t>(1, snapshot.instances->entries.size()));
         gateway.servers.fleet.entries = gateway.retryRules.instances;
+        peers.updateInstances(*snapshot.instances, now);
     }
     lastSnapshot = snapshot;
     if (isNewCatalogue)
--- a/lib/gateway/listcodec.cpp
+++ b/lib/gateway/listcodec.cpp
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace kumquathaven::gateway {
 
 namespace {
@@ -21,7 +23,7 @@
 std::uint64_t millisecondsOf(Duration d)
 {
     const auto n = std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
-    return n < 0 ? 0 : static_cast<std::uint64_t>(n);
+    return n < 0 ? 0 : std::min(maxMilliseconds, static_cast<std::uint64_t>(n));
 }
 
 json toJson(const deployment::ListedServer &it)
@@ -124,4 +126,30 @@
     return Result<ListMessage>(std::move(message));
 }
 
+std::string encodeFreshness(const ListFreshness &freshness)
+{
+    return wire::toCbor(json::array({freshness.digest, millisecondsOf(freshness.age)}));
+}
+
+std::optional<ListFreshness> decodeFreshness(std::string_view note)
+{
+    if (note.empty())
+        return std::nullopt;
+    return orElse(
+        [&]() -> Result<std::optional<ListFreshness>> {
+            BOOST_LEAF_AUTO(value, wire::fromCbor(note, "gateway.note", {}));
+            const bool isFreshness = value.is_array() && value.size() == 2
+                && value[0].is_number_unsigned() && value[1].is_number_unsigned()
+                && value[1].get<std::uint64_t>() <= maxMilliseconds;
+            if (!isFreshness)
+                return std::optional<ListFreshness>();
+            return std::optional<ListFreshness>(
+                {value[0].get<std::uint64_t>(),
+                 std::chrono::milliseconds(value[1].get<std::int64_t>())});
+        },
+        [](const Error &) {
+            return std::optional<ListFreshness>();
+        });
+}
+
 } // namespace kumquathaven::gateway
--- a/lib/gateway/peermessages.cpp
+++ b/lib/gateway/peermessages.cpp
@@ -1,7 +1,6 @@
 #include "peermessages.h"
 
-#include "peerupdate.h"
-
+#include "kumquathaven/overlay/messages.h"
 #include "kumquathaven/telemetry/log.h"
 
 #include <algorithm>
@@ -11,123 +10,183 @@
 
 namespace {
 
-constexpr const char *limitsKind = "limits";
-constexpr const char *placementsKind = "placements";
+constexpr const char *joinKind = "join";
+constexpr const char *updateKind = "update";
 constexpr const char *listRequestKind = "listQuestion";
 constexpr const char *listKind = "list";
 
-} // namespace
-
-wire::Frame limitsFrame(const std::string &body)
+overlay::TreeNode nodeOf(const catalogue::Instance &instance)
 {
-    return {wire::Channel::Slices, limitsKind, body};
+    return {instance.name, instance.failureDomain, instance.weight};
 }
 
-PeerMessages::PeerMessages(std::string instance, Gateway &gateway, feed::PeerLinks &peerLinks)
-    : m_instance(std::move(instance))
+} // namespace
+
+PeerMessages::PeerMessages(const catalogue::Instance &self, Gateway &gateway, wire::Hub &hub)
+    : m_self(nodeOf(self))
     , m_gateway(gateway)
-    , m_peerLinks(peerLinks)
-    , m_listReader(gateway, [this](const std::vector<deployment::ListedServer> &servers) {
-        handleReadList(servers, monotonicNow());
-    })
+    , m_hub(hub)
+    , m_member(m_self)
+    , m_listReader(gateway,
+                   [this](const std::vector<deployment::ListedServer> &servers) {
+                       handleReadList(servers, monotonicNow());
+                   })
+    , m_eventAges(gateway.metrics.histogram(
+          "kumquathaven_peer_event_age_seconds",
+          "time that what other entries did waited in entries until it arrived here", {}))
+    , m_connected(gateway.metrics.gauge(
+          "kumquathaven_peers_connected",
+          "entries whose knowledge reaches this one over the tree, including itself"))
+    , m_parentAge(gateway.metrics.gauge(
+          "kumquathaven_peer_parent_age_seconds",
+          "time since the last message of the parent in the tree; zero at the root"))
 {
-    m_sharing.instance = m_instance;
+    m_sharing.readAt = monotonicNow();
 }
 
 void PeerMessages::updateInstances(const catalogue::Instances &instances, TimePoint now)
 {
-    const bool wasReader = m_sharing.isReader;
-    updateReaders(m_sharing, instances, now);
-    if (wasReader != m_sharing.isReader)
-        telemetry::logLine(telemetry::LogLevel::Info, "list",
-                           wasReader ? "requests the list from other entries"
-                                     : "reads the list for other entries",
-                           {{"readers", std::to_string(readerCount(m_sharing))}});
-    m_peerNames.clear();
-    for (const auto &it : instances.entries) {
-        if (it.first != m_instance)
-            m_peerNames.push_back(it.first);
+    std::vector<overlay::TreeNode> nodes;
+    m_addresses.clear();
+    for (const auto &[name, it] : instances.entries) {
+        m_addresses[name] = it.link;
+        if (it.state == catalogue::InstanceState::Serving)
+            nodes.push_back(nodeOf(it));
     }
+    m_sharing.knowsInstances = !instances.entries.empty();
+    perform(m_member.setInstances(nodes, now), now);
 }
 
 void PeerMessages::tick(TimePoint now)
 {
     shareList(now);
-    sendUpdates(now);
+    publish(now);
+    perform(m_member.tick(now), now);
+    const std::uint32_t connected = overlay::connectedInstances(m_member.aggregate());
+    m_gateway.limits.setInstances(m_gateway.retryRules.instances, connected);
+    m_connected.set(connected);
+    m_parentAge.set(m_member.parent().empty() ? 0.0
+                                              : toSeconds(now - m_member.heardFromParentAt()));
 }
 
-/// Reads the platform's list, or requests it from one of the entries that read it.
-void PeerMessages::shareList(TimePoint now)
+/// Hands what this entry did and knows to the tree.
+void PeerMessages::publish(TimePoint now)
 {
-    std::uint32_t readers = 0;
-    m_sharing.lastFailureAt = m_listReader.lastFailureAt();
-    if (shouldRead(m_sharing, now))
-        readers = m_sharing.isReader ? readerCount(m_sharing) : m_gateway.retryRules.instances;
-    m_listReader.tick(now, readers);
-    if (const auto reader = nextReaderToAsk(m_sharing, now))
-        send(*reader, listRequestKind, encodeListRequest(m_sharing.digest));
+    Servers &servers = m_gateway.servers;
+    for (const auto &[start, tokens] : takeChangedBacklogs(servers))
+        m_member.setLevel(backlogKey(start), static_cast<std::int64_t>(tokens), now);
+    const PeerUpdate update = takeUpdate(servers, m_self.name);
+    for (const ServerObservation &it : update.observations)
+        logObservation(it);
+    for (const overlay::Event &it : encodeEvents(update))
+        m_member.addEvent(it, now);
+    const LimitsReport report = m_gateway.limits.takeReport(now);
+    for (const auto &[customer, demand] : report.demand)
+        m_member.setLevel(demandKey(customer), demand, now);
+    for (const auto &[customer, tokens] : report.spent)
+        m_member.addIncrement(spendingKey(customer), tokens);
 }
 
-void PeerMessages::handleReadList(const std::vector<deployment::ListedServer> &servers,
-                                  TimePoint now)
+void PeerMessages::perform(const overlay::MemberEffects &effects, TimePoint now)
 {
-    applyList(m_gateway.servers, servers, now);
-    const std::uint64_t before = m_sharing.digest;
-    const std::vector<std::string> recipients = applyReadList(m_sharing, servers, now);
-    if (m_sharing.digest != before)
-        logList("platform");
-    if (recipients.empty())
-        return;
-    const std::string body = encodeList({m_sharing.digest, Duration(0), m_sharing.servers});
-    for (const std::string &it : recipients)
-        send(it, listKind, body);
+    for (const std::string &it : effects.disconnect)
+        disconnect(it);
+    for (const overlay::ChildId it : effects.disconnectChildren)
+        m_hub.disconnect(it);
+    for (const std::string &it : effects.connect)
+        connect(it);
+    for (const overlay::OutgoingUpdate &it : effects.updates) {
+        const auto uplink = m_uplinks.find(it.to.uplink);
+        if (it.to.uplink.empty())
+            send(it.to.child, updateKind, overlay::encodeUpdate(it.update));
+        else if (uplink != m_uplinks.end())
+            send(uplink->second, updateKind, overlay::encodeUpdate(it.update));
+    }
+    for (const overlay::Event &it : effects.events)
+        applyEvent(it, now);
+    for (const overlay::Increment &it : effects.increments)
+        m_gateway.limits.applySpendingOfOthers(it.key, it.amount, now);
+    applyLevels(now);
 }
 
-/// Logs that servers were added, removed or changed.
-void PeerMessages::logList(const std::string &from) const
+/// Applies the levels of the other entries that changed.
+void PeerMessages::applyLevels(TimePoint now)
 {
-    telemetry::logLine(
-        telemetry::LogLevel::Info, "list", "servers changed",
-        {{"from", from}, {"servers", std::to_string(m_gateway.servers.known.size())}});
+    for (const overlay::Key key : m_member.takeChangedLevels()) {
+        const std::int64_t value = overlay::levelOfOthers(m_member.aggregate(), key);
+        const TimePoint decreasedAt = overlay::lastDecreaseOfOthers(m_member.aggregate(), key);
+        if (!setBacklogOfOthers(m_gateway.servers, key, value, decreasedAt, now))
+            m_gateway.limits.setDemandOfOthers(key, value);
+    }
 }
 
-/// Logs an observation of this entry. Observations of peers are counted in a metric instead.
-void PeerMessages::logObservation(const ServerObservation &observation) const
+void PeerMessages::applyEvent(const overlay::Event &event, TimePoint now)
 {
-    telemetry::LogFields fields = {
-        {"server", observation.start},
-        {"what", std::string(nameOf(observationKindNames, observation.kind))}};
-    if (observation.kind == ObservationKind::Weights)
-        fields.emplace_back("version", std::to_string(observation.version));
-    telemetry::logLine(telemetry::LogLevel::Warn, "servers", "server observation", fields);
+    m_eventAges.observe(toSeconds(event.age));
+    const bool isApplied = orElse(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_AUTO(update, decodeEvent(event.bytes, m_member.parent()));
+            applyPeerUpdate(m_gateway.servers, update, now);
+            for (const ServerObservation &it : update.observations)
+                m_gateway.metrics
+                    .counter("kumquathaven_server_findings_total",
+                             "what other entries told of servers that fail or have new weights",
+                             {{"what", std::string(nameOf(observationKindNames, it.kind))}})
+                    .add();
+            return true;
+        },
+        [](const Error &) {
+            return false;
+        });
+    if (!isApplied)
+        m_gateway.counters.malformedFrames.add();
 }
 
-/// Sends an update to the other entries if the budget allows it: placed prompts, backlogs, store
-/// updates, paces and observations.
-void PeerMessages::sendUpdates(TimePoint now)
+void PeerMessages::connect(const std::string &name)
 {
-    Servers &servers = m_gateway.servers;
-    const bool isUrgent = !servers.unreportedPrompts.empty() || !servers.observations.empty();
-    if (!maySendUpdate(m_updateBudget, m_peerNames.size(), isUrgent, now))
+    const auto it = m_addresses.find(name);
+    const settings::Address address =
+        it == m_addresses.end() ? settings::Address() : settings::parseAddress(it->second);
+    if (address.port == 0)
         return;
-    const PeerUpdate update = takeUpdate(servers, now);
-    if (update.isEmpty())
+    disconnect(name);
+    m_uplinks[name] = m_hub.connect(address);
+}
+
+void PeerMessages::disconnect(const std::string &name)
+{
+    const auto it = m_uplinks.find(name);
+    if (it == m_uplinks.end())
         return;
-    recordUpdateSent(m_updateBudget, m_peerNames.size(), now);
-    for (const ServerObservation &it : update.observations)
-        logObservation(it);
-    const std::string body = encodePeerUpdate(update);
-    for (const std::string &it : m_peerNames)
-        send(it, placementsKind, body);
+    m_hub.disconnect(it->second);
+    m_uplinks.erase(it);
+}
+
+/// Returns the name of the entry to which this one opened a link, or an empty string.
+std::string PeerMessages::uplinkOf(wire::LinkId link) const
+{
+    for (const auto &[name, it] : m_uplinks) {
+        if (it == link)
+            return name;
+    }
+    return {};
+}
+
+void PeerMessages::opened(const wire::Peer &peer)
+{
+    if (peer.outgoing && !uplinkOf(peer.link).empty())
+        send(peer.link, joinKind, overlay::encodeJoin(m_self));
 }
 
-void PeerMessages::send(const std::string &to, const char *kind, const std::string &body)
+void PeerMessages::closed(const wire::Peer &peer, TimePoint now)
 {
-    // A lost message is requested again or followed by a newer one.
-    m_peerLinks.send(to, {wire::Channel::Slices, kind, body});
+    if (!peer.outgoing)
+        m_member.childClosed(peer.link);
+    else if (const std::string name = uplinkOf(peer.link); !name.empty())
+        perform(m_member.closed(name, now), now);
 }
 
-void PeerMessages::handleMessage(const std::string &peer, const wire::Frame &frame, TimePoint now)
+void PeerMessages::received(const wire::Peer &peer, const wire::Frame &frame, TimePoint now)
 {
     const bool isHandled = orElse(
         [&] {
@@ -137,43 +196,102 @@
             return false;
         });
     if (!isHandled)
-        m_gateway.metrics
-            .counter("kumquathaven_entry_frames_malformed_total",
-                     "frames of other entries that were not understood", {{"channel", "slices"}})
-            .add();
+        m_gateway.counters.malformedFrames.add();
 }
 
 /// Handles a message by its kind. Returns whether the message was understood.
-Result<bool> PeerMessages::dispatch(const std::string &peer, const wire::Frame &frame,
-                                    TimePoint now)
+Result<bool> PeerMessages::dispatch(const wire::Peer &peer, const wire::Frame &frame, TimePoint now)
 {
-    if (frame.kind == limitsKind)
-        return m_gateway.limits.handleMessage(peer, frame.body, now);
-    if (frame.kind == listRequestKind) {
-        BOOST_LEAF_AUTO(digest, decodeListRequest(frame.body, peer));
-        send(peer, listKind, encodeList(answerListRequest(m_sharing, peer, digest, now)));
+    if (frame.kind == updateKind) {
+        BOOST_LEAF_AUTO(update, overlay::decodeUpdate(frame.body, peer.name));
+        if (!peer.outgoing)
+            perform(m_member.receiveFromChild(peer.link, update, now), now);
+        else if (const std::string name = uplinkOf(peer.link); !name.empty())
+            perform(m_member.receive(name, update, now), now);
         return true;
     }
-    if (frame.kind == listKind) {
-        BOOST_LEAF_AUTO(message, decodeList(frame.body, peer));
-        const std::uint64_t before = m_sharing.digest;
-        if (applyAnswer(m_sharing, message, now))
-            applyList(m_gateway.servers, *m_sharing.servers, m_sharing.readAt);
-        if (m_sharing.digest != before)
-            logList(peer);
+    if (frame.kind == joinKind) {
+        BOOST_LEAF_AUTO(node, overlay::decodeJoin(frame.body, peer.name));
+        perform(m_member.join(peer.link, node, now), now);
         return true;
     }
-    if (frame.kind != placementsKind)
+    if (frame.kind == listRequestKind) {
+        BOOST_LEAF_AUTO(digest, decodeListRequest(frame.body, peer.name));
+        send(peer.link, listKind, encodeList(answerListRequest(m_sharing, digest, now)));
+        return true;
+    }
+    if (frame.kind != listKind)
         return false;
-    BOOST_LEAF_AUTO(update, decodePeerUpdate(frame.body, peer));
-    applyPeerUpdate(m_gateway.servers, peer, update, now);
-    for (const ServerObservation &it : update.observations)
-        m_gateway.metrics
-            .counter("kumquathaven_server_findings_total",
-                     "what other entries told of servers that fail or have new weights",
-                     {{"what", std::string(nameOf(observationKindNames, it.kind))}})
-            .add();
+    BOOST_LEAF_AUTO(message, decodeList(frame.body, peer.name));
+    const std::uint64_t before = m_sharing.digest;
+    if (applyAnswer(m_sharing, message, now))
+        applyList(m_gateway.servers, *m_sharing.servers, m_sharing.readAt);
+    if (m_sharing.digest != before)
+        logList(peer.name);
     return true;
 }
 
+/// Reads the platform's list, or requests it from the parent.
+void PeerMessages::shareList(TimePoint now)
+{
+    m_sharing.lastFailureAt = m_listReader.lastFailureAt();
+    const bool wasReader = std::exchange(m_sharing.isReader, m_member.isRoot());
+    if (wasReader != m_sharing.isReader)
+        telemetry::logLine(telemetry::LogLevel::Info, "list",
+                           wasReader ? "gets the list from another entry"
+                                     : "reads the list for other entries",
+                           {{"parent", m_member.parent()}});
+    if (const auto freshness = decodeFreshness(m_member.parentNote()))
+        applyFreshness(m_sharing, *freshness, m_member.heardFromParentAt());
+    if (m_sharing.servers != nullptr)
+        m_gateway.servers.listReadAt = m_sharing.readAt;
+    std::uint32_t readers = 0;
+    if (shouldRead(m_sharing, now))
+        readers = m_sharing.isReader ? 1 : m_gateway.retryRules.instances;
+    m_listReader.tick(now, readers);
+    const auto parent = m_uplinks.find(m_member.parent());
+    if (parent != m_uplinks.end() && shouldRequest(m_sharing, now))
+        send(parent->second, listRequestKind, encodeListRequest(m_sharing.digest));
+    m_member.setNote(encodeFreshness({m_sharing.digest, now - m_sharing.readAt}));
+}
+
+void PeerMessages::handleReadList(const std::vector<deployment::ListedServer> &servers,
+                                  TimePoint now)
+{
+    applyList(m_gateway.servers, servers, now);
+    const std::uint64_t before = m_sharing.digest;
+    applyReadList(m_sharing, servers, now);
+    if (m_sharing.digest != before)
+        logList("platform");
+}
+
+/// Logs that servers were added, removed or changed.
+void PeerMessages::logList(const std::string &from) const
+{
+    telemetry::logLine(
+        telemetry::LogLevel::Info, "list", "servers changed",
+        {{"from", from}, {"servers", std::to_string(m_gateway.servers.known.size())}});
+}
+
+/// Logs an observation of this entry. Observations of peers are counted in a metric instead.
+void PeerMessages::logObservation(const ServerObservation &observation) const
+{
+    telemetry::LogFields fields = {
+        {"server", observation.start},
+        {"what", std::string(nameOf(observationKindNames, observation.kind))}};
+    if (observation.kind == ObservationKind::Weights)
+        fields.emplace_back("version", std::to_string(observation.version));
+    telemetry::logLine(telemetry::LogLevel::Warn, "servers", "server observation", fields);
+}
+
+void PeerMessages::send(wire::LinkId link, const char *kind, const std::string &body)
+{
+    // A message that cannot be sent means that the link is closing, which is handled on its own.
+    orElse(
+        [&] {
+            return m_hub.send(link, {wire::Channel::Slices, kind, body});
+        },
+        [](const Error &) {});
+}
+
 } // namespace kumquathaven::gateway
--- a/lib/gateway/peermessages.h
+++ b/lib/gateway/peermessages.h
@@ -1,31 +1,31 @@
-// Sends and receives the messages between entries: the list of servers, updates on placed prompts
-// and servers, and the use of customers' limits.
+// Exchanges with other entries what each knows: the list of servers, placed prompts and
+// observations of servers, backlogs at servers, and the use of customers' limits. All of it goes
+// along one tree of entries (overlay/member.h).
 
 #ifndef KUMQUATHAVEN_LIB_GATEWAY_PEERMESSAGES_H
 #define KUMQUATHAVEN_LIB_GATEWAY_PEERMESSAGES_H
 
 #include "gateway.h"
 #include "listsharing.h"
+#include "peerupdate.h"
 #include "serverlist.h"
-#include "updatebudget.h"
 
-#include "kumquathaven/feed/peerlinks.h"
-#include "kumquathaven/wire/frame.h"
+#include "kumquathaven/catalogue/instances.h"
+#include "kumquathaven/overlay/member.h"
+#include "kumquathaven/wire/hub.h"
 
+#include <map>
 #include <string>
 #include <vector>
 
 namespace kumquathaven::gateway {
 
-/// Returns the message that reports the use of customers' limits.
-wire::Frame limitsFrame(const std::string &body);
-
 /// Used on the loop's thread only.
 class PeerMessages
 {
 public:
-    /// \p instance is the name of this entry.
-    PeerMessages(std::string instance, Gateway &gateway, feed::PeerLinks &peerLinks);
+    /// \p self is this entry as it announces itself.
+    PeerMessages(const catalogue::Instance &self, Gateway &gateway, wire::Hub &hub);
 
     /// Applies the current set of instances.
     void updateInstances(const catalogue::Instances &instances, TimePoint now);
@@ -34,25 +34,40 @@
     /// every few tens of milliseconds.
     void tick(TimePoint now);
 
-    /// Handles a message of another entry. A malformed message is counted.
-    void handleMessage(const std::string &peer, const wire::Frame &frame, TimePoint now);
+    /// Handle the opening and closing of a link, and a message. Links that are not part of the tree
+    /// are ignored. A malformed message is counted.
+    void opened(const wire::Peer &peer);
+    void closed(const wire::Peer &peer, TimePoint now);
+    void received(const wire::Peer &peer, const wire::Frame &frame, TimePoint now);
 
 private:
-    Result<bool> dispatch(const std::string &peer, const wire::Frame &frame, TimePoint now);
+    Result<bool> dispatch(const wire::Peer &peer, const wire::Frame &frame, TimePoint now);
+    void perform(const overlay::MemberEffects &effects, TimePoint now);
+    void connect(const std::string &name);
+    void disconnect(const std::string &name);
+    std::string uplinkOf(wire::LinkId link) const;
+    void applyEvent(const overlay::Event &event, TimePoint now);
+    void applyLevels(TimePoint now);
+    void publish(TimePoint now);
     void shareList(TimePoint now);
     void handleReadList(const std::vector<deployment::ListedServer> &servers, TimePoint now);
     void logObservation(const ServerObservation &observation) const;
     void logList(const std::string &from) const;
-    void sendUpdates(TimePoint now);
-    void send(const std::string &to, const char *kind, const std::string &body);
+    void send(wire::LinkId link, const char *kind, const std::string &body);
 
-    const std::string m_instance;
+    const overlay::TreeNode m_self;
     Gateway &m_gateway;
-    feed::PeerLinks &m_peerLinks;
+    wire::Hub &m_hub;
+    overlay::Member m_member;
+    /// Addresses of the links of all entries in service, by name.
+    std::map<std::string, std::string> m_addresses;
+    /// Links that this entry opened, by the name of the other entry.
+    std::map<std::string, wire::LinkId> m_uplinks;
     ListSharing m_sharing;
     ServerListReader m_listReader;
-    std::vector<std::string> m_peerNames;
-    UpdateBudget m_updateBudget;
+    telemetry::Histogram &m_eventAges;
+    telemetry::Gauge &m_connected;
+    telemetry::Gauge &m_parentAge;
 };
 
 } // namespace kumquathaven::gateway
--- a/lib/gateway/peerupdate.cpp
+++ b/lib/gateway/peerupdate.cpp
@@ -2,12 +2,14 @@
 
 #include "servertables.h"
 
+#include "kumquathaven/base/hash.h"
 #include "kumquathaven/wire/cbor.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace kumquathaven::gateway {
 
@@ -15,15 +17,20 @@
 
 using nlohmann::json;
 
-constexpr std::size_t maxReported = 256;
 constexpr std::size_t maxParts = 64;
 constexpr std::uint64_t maxPartTokens = 10'000'000;
-/// Upper bound of a backlog, larger than any queue of prompts at one server.
-constexpr std::uint64_t maxBacklogTokens = 1'000'000'000;
 /// Upper bound of a pause, one minute. An engine with longer pauses gives no answer in time.
 constexpr std::uint64_t maxPauseUs = 60'000'000;
-/// Minimum change of a backlog that affects the choice of a server: a few short prompts.
-constexpr std::uint64_t minBacklogChange = 2'000;
+
+/// Kinds of events; the first element of an event.
+enum class EventKind { Prompt, Stored, Pace, Observation };
+
+constexpr std::array<EnumName<EventKind>, 4> eventKindNames = {{
+    {EventKind::Prompt, "prompt"},
+    {EventKind::Stored, "stored"},
+    {EventKind::Pace, "pace"},
+    {EventKind::Observation, "observation"},
+}};
 
 json toJson(const PlacedPrompt &it)
 {
@@ -69,15 +76,6 @@
     return true;
 }
 
-bool readBacklog(const json &value, ServerBacklog &out)
-{
-    const bool isBacklog = value.is_array() && value.size() == 2 && value[0].is_string()
-        && value[1].is_number_unsigned() && value[1].get<std::uint64_t>() <= maxBacklogTokens;
-    if (isBacklog)
-        out = {value[0].get<std::string>(), value[1].get<std::uint64_t>()};
-    return isBacklog;
-}
-
 bool readStoreUpdate(const json &value, StoreUpdate &out)
 {
     const bool isUpdate = value.is_array() && value.size() == 2 && value[0].is_number_unsigned()
@@ -110,29 +108,6 @@
     return isObservation;
 }
 
-/// Parses an array of at most maxReported elements. Returns whether all of it is well formed.
-template <typename T>
-bool readList(const json &value, bool (*read)(const json &, T &), std::vector<T> &out)
-{
-    if (!value.is_array() || value.size() > maxReported)
-        return false;
-    out.resize(value.size());
-    for (std::size_t n = 0; n < out.size(); ++n) {
-        if (!read(value[n], out[n]))
-            return false;
-    }
-    return true;
-}
-
-/// Returns whether a backlog should be reported to the other instances.
-bool shouldReport(const ReportedBacklog &reported, std::uint64_t tokens, TimePoint now)
-{
-    const std::uint64_t change =
-        std::max(reported.tokens, tokens) - std::min(reported.tokens, tokens);
-    const bool isStale = tokens > 0 && now - reported.updatedAt >= backlogInterval;
-    return change >= minBacklogChange || (change > 0 && tokens == 0) || isStale;
-}
-
 /// Returns the pause of a server that is to be reported, and resets it, once enough chunks arrived
 /// to compute one.
 std::optional<Duration> takeUnreportedPause(KnownServer &server)
@@ -144,91 +119,121 @@
     return fromSeconds(*pause);
 }
 
-/// Removes and returns the first maxReported elements of a list.
+/// Builds an event from its kind, the text that identifies what it is about, and its content.
+overlay::Event eventOf(EventKind kind, const std::string &subject, json content)
+{
+    const auto number = static_cast<std::uint64_t>(kind);
+    return {combineHash(number, stableHash(subject)),
+            wire::toCbor(json::array({number, std::move(content)})), Duration(0)};
+}
+
+/// Reads the content of an event into the list that its kind belongs to.
 template <typename T>
-std::vector<T> takeFirst(std::vector<T> &list)
+bool readInto(std::vector<T> &list, bool (*read)(const json &, T &), const json &content)
 {
-    const auto end = list.begin() + static_cast<std::ptrdiff_t>(std::min(list.size(), maxReported));
-    std::vector<T> taken(list.begin(), end);
-    list.erase(list.begin(), end);
-    return taken;
+    T value;
+    if (!read(content, value))
+        return false;
+    list.push_back(std::move(value));
+    return true;
+}
+
+/// Reads an event that names the instance that observed it.
+template <typename T>
+bool readObserved(PeerUpdate &update, std::vector<T> &list, bool (*read)(const json &, T &),
+                  const json &content)
+{
+    if (!content.is_array() || content.size() != 2 || !content[0].is_string())
+        return false;
+    update.instance = content[0].get<std::string>();
+    return readInto(list, read, content[1]);
+}
+
+bool readContent(PeerUpdate &update, EventKind kind, const json &content)
+{
+    switch (kind) {
+    case EventKind::Prompt:
+        return readInto(update.prompts, readPrompt, content);
+    case EventKind::Stored:
+        return readInto(update.stored, readStoreUpdate, content);
+    case EventKind::Pace:
+        return readObserved(update, update.paces, readPace, content);
+    case EventKind::Observation:
+        return readObserved(update, update.observations, readObservation, content);
+    }
+    return false;
 }
 
 } // namespace
 
-PeerUpdate takeUpdate(Servers &servers, TimePoint now)
+PeerUpdate takeUpdate(Servers &servers, const std::string &instance)
 {
     PeerUpdate update;
-    update.prompts = takeFirst(servers.unreportedPrompts);
-    update.stored = takeFirst(servers.unreportedStoreUpdates);
-    update.observations = takeFirst(servers.observations);
-    for (auto &[start, server] : servers.known) {
-        if (update.paces.size() < maxReported) {
-            if (const auto pause = takeUnreportedPause(server))
-                update.paces.push_back({start, *pause});
-        }
-        const auto tokens = static_cast<std::uint64_t>(
-            routing::outstandingTokens(servers.fleet.upstreams[server.slot]));
-        if (update.backlogs.size() >= maxReported || !shouldReport(server.reported, tokens, now))
+    update.instance = instance;
+    update.prompts = std::exchange(servers.unreportedPrompts, {});
+    update.stored = std::exchange(servers.unreportedStoreUpdates, {});
+    update.observations = std::exchange(servers.observations, {});
+    for (const std::string &start : std::exchange(servers.changedPauses, {})) {
+        const auto it = servers.known.find(start);
+        if (it == servers.known.end())
             continue;
-        server.reported = {tokens, now};
-        update.backlogs.push_back({start, tokens});
+        if (const auto pause = takeUnreportedPause(it->second))
+            update.paces.push_back({start, *pause});
     }
     return update;
 }
 
-void applyPeerUpdate(Servers &servers, const std::string &peer, const PeerUpdate &update,
-                     TimePoint now)
+void applyPeerUpdate(Servers &servers, const PeerUpdate &update, TimePoint now)
 {
     for (const PlacedPrompt &it : update.prompts)
         applyPlacedPrompt(servers, it, now);
-    for (const ServerBacklog &it : update.backlogs)
-        applyPeerBacklog(servers, peer, it, now);
     for (const StoreUpdate &it : update.stored)
         applyStoreUpdate(servers, it, now);
     for (const ServerPace &it : update.paces)
         applyPeerPace(servers, it);
     for (const ServerObservation &it : update.observations)
-        applyObservation(servers, peer, it, now);
+        applyObservation(servers, update.instance, it, now);
 }
 
-std::string encodePeerUpdate(const PeerUpdate &update)
+std::vector<overlay::Event> encodeEvents(const PeerUpdate &update)
 {
-    json prompts = json::array();
-    for (const PlacedPrompt &it : update.prompts)
-        prompts.push_back(toJson(it));
-    json backlogs = json::array();
-    for (const ServerBacklog &it : update.backlogs)
-        backlogs.push_back({it.start, it.tokens});
-    json stored = json::array();
+    std::vector<overlay::Event> events;
+    for (const PlacedPrompt &it : update.prompts) {
+        const std::string part = it.parts.empty() ? std::string() : it.parts.back().id;
+        events.push_back(eventOf(EventKind::Prompt,
+                                 it.start + '|' + it.customer + '|' + it.model + '|' + it.version
+                                     + '|' + it.store + '|' + part,
+                                 toJson(it)));
+    }
     for (const StoreUpdate &it : update.stored)
-        stored.push_back({it.block, it.isStored});
-    json paces = json::array();
+        events.push_back(eventOf(EventKind::Stored, std::to_string(it.block),
+                                 json::array({it.block, it.isStored})));
     for (const ServerPace &it : update.paces)
-        paces.push_back({it.start, microsecondsOf(it.pause)});
-    json observations = json::array();
-    for (const ServerObservation &it : update.observations)
-        observations.push_back(
-            {it.start, static_cast<std::uint64_t>(it.kind), it.model, it.version});
-    return wire::toCbor(json::array({std::move(prompts), std::move(backlogs), std::move(stored),
-                                     std::move(paces), std::move(observations)}));
+        events.push_back(eventOf(
+            EventKind::Pace, update.instance + '|' + it.start,
+            json::array({update.instance, json::array({it.start, microsecondsOf(it.pause)})})));
+    for (const ServerObservation &it : update.observations) {
+        const auto kind = static_cast<std::uint64_t>(it.kind);
+        events.push_back(eventOf(
+            EventKind::Observation,
+            update.instance + '|' + it.start + '|' + std::to_string(kind) + '|' + it.model,
+            json::array({update.instance, json::array({it.start, kind, it.model, it.version})})));
+    }
+    return events;
 }
 
-Result<PeerUpdate> decodePeerUpdate(std::string_view bytes, const std::string &peer)
+Result<PeerUpdate> decodeEvent(std::string_view bytes, const std::string &peer)
 {
-    BOOST_LEAF_AUTO(value, wire::fromCbor(bytes, "gateway.placements", peer));
+    BOOST_LEAF_AUTO(value, wire::fromCbor(bytes, "gateway.event", peer));
     PeerUpdate update;
-    const bool isUpdate = value.is_array() && value.size() == 5
-        && readList(value[0], readPrompt, update.prompts)
-        && readList(value[2], readStoreUpdate, update.stored)
-        && readList(value[3], readPace, update.paces)
-        && readList(value[4], readObservation, update.observations)
-        && readList(value[1], readBacklog, update.backlogs);
-    if (!isUpdate)
+    const bool isEvent = value.is_array() && value.size() == 2 && value[0].is_number_unsigned()
+        && value[0].get<std::uint64_t>() < eventKindNames.size()
+        && readContent(update, static_cast<EventKind>(value[0].get<std::uint64_t>()), value[1]);
+    if (!isEvent)
         return fail({ErrorCode::InvalidRequest,
-                     "gateway.placements",
+                     "gateway.event",
                      peer,
-                     "malformed update of prompts and backlogs",
+                     "malformed event of another entry",
                      Outcome::NotRun,
                      {}});
     return Result<PeerUpdate>(std::move(update));
--- a/lib/gateway/peerupdate.h
+++ b/lib/gateway/peerupdate.h
@@ -1,17 +1,17 @@
-// Updates that instances send each other about their requests: the server and the store that a
-// shared prompt was sent to, the prompt tokens that wait at each server, the pauses between the
-// chunks of a server's answers, and servers that refuse requests, are unreachable or have new
-// weights.
+// What instances tell each other about their requests, as events: the server and the store that a
+// shared prompt was sent to, the pauses between the chunks of a server's answers, and servers that
+// refuse requests, are unreachable, leave or have new weights.
 //
-// Without updates, each of many instances with the same shared prompt would have it read by another
-// server and stored again, would not know of queues that others built up, and, with many servers,
-// would learn their speeds too late from its own requests.
+// Without these, each of many instances with the same shared prompt would have it read by another
+// server and stored again, and, with many servers, would learn their speeds too late from its own
+// requests. Backlogs are not events, since only their sums matter.
 
 #ifndef KUMQUATHAVEN_LIB_GATEWAY_PEERUPDATE_H
 #define KUMQUATHAVEN_LIB_GATEWAY_PEERUPDATE_H
 
 #include "kumquathaven/base/result.h"
 #include "kumquathaven/base/time.h"
+#include "kumquathaven/overlay/aggregate.h"
 #include "servers.h"
 
 #include <string>
@@ -20,36 +20,32 @@
 
 namespace kumquathaven::gateway {
 
-/// One update of an instance to its peers.
+/// Events of one instance.
 struct PeerUpdate
 {
+    /// Name of the instance that observed the events.
+    std::string instance;
     std::vector<PlacedPrompt> prompts;
-    /// Only backlogs that changed or were not reported for a while.
-    std::vector<ServerBacklog> backlogs;
     std::vector<StoreUpdate> stored;
     std::vector<ServerObservation> observations;
     /// Paces of servers that sent this instance enough chunks since its last report of them.
     std::vector<ServerPace> paces;
-
-    bool isEmpty() const
-    {
-        return prompts.empty() && backlogs.empty() && stored.empty() && paces.empty()
-            && observations.empty();
-    }
 };
 
-/// Returns the unreported data and removes it from \p servers. The size of an update is bounded;
-/// data beyond the bound is kept for the next update.
-PeerUpdate takeUpdate(Servers &servers, TimePoint now);
+/// Returns the unreported data of \p instance and removes it from \p servers.
+PeerUpdate takeUpdate(Servers &servers, const std::string &instance);
 
-/// Applies an update of another instance. Data about servers that this instance does not know is
+/// Applies events of another instance. Data about servers that this instance does not know is
 /// ignored.
-void applyPeerUpdate(Servers &servers, const std::string &peer, const PeerUpdate &update,
-                     TimePoint now);
+void applyPeerUpdate(Servers &servers, const PeerUpdate &update, TimePoint now);
+
+/// Encodes each part of an update as an event of its own. A later event about the same thing has
+/// the same key.
+std::vector<overlay::Event> encodeEvents(const PeerUpdate &update);
 
-/// Encode an update as CBOR and decode it. The error is InvalidRequest and names \p peer.
-std::string encodePeerUpdate(const PeerUpdate &update);
-Result<PeerUpdate> decodePeerUpdate(std::string_view bytes, const std::string &peer);
+/// Decodes the bytes of an event. The error is InvalidRequest and names \p peer, from which the
+/// event was received.
+Result<PeerUpdate> decodeEvent(std::string_view bytes, const std::string &peer);
 
 } // namespace kumquathaven::gateway
 
--- a/lib/gateway/pick.cpp
+++ b/lib/gateway/pick.cpp
@@ -29,6 +29,9 @@
 constexpr double maxReaderDelayShare = 0.5;
 /// Maximum number of placed prompts that are queued for the other instances.
 constexpr std::size_t maxUnreportedPrompts = 1'000;
+/// A placement is not reported again within this time, which is short against the time for which
+/// engines are assumed to keep a prompt.
+constexpr Duration placementReportInterval = std::chrono::seconds(2);
 /// Maximum additional time to the first event at the preferred server of a large shared part, as a
 /// share of the objective.
 constexpr double maxPlacementDelayShare = 0.25;
@@ -238,6 +241,21 @@
     out.store = std::move(view);
 }
 
+/// Returns whether it was recently reported that a server got a prompt.
+bool isPlacementKnown(const Servers &servers, const routing::PrefixChain &chain, routing::Slot slot,
+                      std::uint64_t shared, TimePoint now)
+{
+    const std::size_t blocks = std::min<std::size_t>(shared / blockTokens, chain.blocks().size());
+    if (blocks == 0)
+        return false;
+    const routing::UpstreamView &view = servers.fleet.upstreams[slot];
+    const auto &holders = servers.fleet.index.holders(chain.blocks()[blocks - 1]);
+    return std::any_of(holders.begin(), holders.end(), [&](const routing::BlockHolder &it) {
+        return it.slot == slot && it.generation == view.generation
+            && now - it.seenAt < placementReportInterval;
+    });
+}
+
 /// Queues the placement of a shared prompt for the other instances.
 void queuePlacedPrompt(Servers &servers, const PickRequest &request, const Pick &pick)
 {
@@ -295,6 +313,9 @@
             return it.server->slot == choice->slot;
         });
     Pick result = pickOf(*chosen, service);
+    const std::uint64_t shared = sharedTokensOf(*request.head);
+    const bool isKnown =
+        isPlacementKnown(servers, out.chains[choice->chain], choice->slot, shared, now);
     recordWorkStart(servers, servers.known.at(result.start), now);
     result.ticket = routing::commit(servers.fleet, out, *choice, now);
     result.weights = versionNumber(choice->weightsVersion);
@@ -304,7 +325,6 @@
     result.reason = routing::describe(*choice) + "; weights=" + choice->weightsVersion;
     if (!request.head->prompt.empty())
         result.reason += "; prompt=" + request.head->prompt.front().id;
-    const std::uint64_t shared = sharedTokensOf(*request.head);
     if (out.store && store != nullptr) {
         const bool isCached = choice->expectedCachedTokens + blockTokens >= shared;
         const bool isInStore = out.store->storedTokens[choice->chain] > 0;
@@ -326,7 +346,7 @@
             result.reason += std::string("; store=") + (result.fetchFrom.empty() ? "" : "fetch ")
                 + (result.saveTo.empty() ? "" : "save");
     }
-    if (shared >= minStoredTokens)
+    if (shared >= minStoredTokens && (!isKnown || !result.saveTo.empty()))
         queuePlacedPrompt(servers, request, result);
     return result;
 }
@@ -364,6 +384,7 @@
         if (!result)
             continue;
         ++servers.known.at(result->start).running;
+        servers.changedBacklogs.insert(result->start);
         return result;
     }
     return std::nullopt;
--- a/lib/gateway/servers.cpp
+++ b/lib/gateway/servers.cpp
@@ -3,10 +3,12 @@
 #include "servers.h"
 #include "servertables.h"
 
+#include "kumquathaven/base/hash.h"
 #include "kumquathaven/deployment/rollout.h"
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace kumquathaven::gateway {
 
@@ -17,8 +19,6 @@
 constexpr double initialPrefillSpeed = 50'000;
 /// Number of versions that are kept for each model; older ones are out of use.
 constexpr std::size_t maxVersions = 64;
-/// How long a reported backlog counts. Backlogs are reported again after half of this time.
-constexpr Duration peerBacklogExpiry = 2 * backlogInterval;
 /// Maximum number of unreported store updates. Entries that are not reported expire at the other
 /// instances.
 constexpr std::size_t maxUnreportedStoreUpdates = 1'000;
@@ -96,10 +96,10 @@
 }
 
 /// Returns the prompt tokens of all instances that wait at a server.
-double backlogOf(const Servers &servers, const KnownServer &server, TimePoint now)
+double backlogOf(const Servers &servers, const KnownServer &server)
 {
     return routing::outstandingTokens(servers.fleet.upstreams[server.slot])
-        + static_cast<double>(peerBacklog(server, now));
+        + static_cast<double>(server.backlogOfOthers);
 }
 
 /// Queues an observation for the other instances; it is dropped if too many are queued.
@@ -225,8 +225,10 @@
         KnownServer &server = servers.known[start];
         const bool isNew = server.listed.id.empty();
         server.listed = it;
-        if (isNew)
+        if (isNew) {
             server.slot = routing::addUpstream(servers.fleet, start, it.service, "0", now);
+            servers.startsByKey[backlogKey(start)] = start;
+        }
         refresh(servers, start, server);
     }
     for (auto it = servers.known.begin(); it != servers.known.end();) {
@@ -238,6 +240,8 @@
         const auto first = servers.observedVersions.lower_bound(it->first + "/");
         const auto last = servers.observedVersions.lower_bound(it->first + "0");
         servers.observedVersions.erase(first, last);
+        servers.startsByKey.erase(backlogKey(it->first));
+        servers.changedBacklogs.insert(it->first);
         it = servers.known.erase(it);
     }
     servers.listReadAt = now;
@@ -282,7 +286,7 @@
 
 Duration expectedWait(const Servers &servers, const KnownServer &server, TimePoint now)
 {
-    const double tokens = backlogOf(servers, server, now);
+    const double tokens = backlogOf(servers, server);
     const double speed = routing::prefillSpeed(servers.fleet, server.slot);
     const double done = toSeconds(now - server.lastProgressAt) * speed;
     return fromSeconds((tokens - std::min(done, tokens * maxUnconfirmedShare)) / speed);
@@ -290,34 +294,41 @@
 
 void recordWorkStart(const Servers &servers, KnownServer &server, TimePoint now)
 {
-    if (backlogOf(servers, server, now) <= 0)
+    if (backlogOf(servers, server) <= 0)
         server.lastProgressAt = now;
 }
 
-void applyPeerBacklog(Servers &servers, const std::string &peer, const ServerBacklog &backlog,
-                      TimePoint now)
+std::uint64_t backlogKey(const std::string &start)
 {
-    const auto server = servers.known.find(backlog.start);
-    if (server == servers.known.end())
-        return;
-    recordWorkStart(servers, server->second, now);
-    const auto before = server->second.peerBacklogs.find(peer);
-    if (before != server->second.peerBacklogs.end() && backlog.tokens < before->second.tokens)
-        server->second.lastProgressAt = now;
-    if (backlog.tokens == 0)
-        server->second.peerBacklogs.erase(peer);
-    else
-        server->second.peerBacklogs[peer] = {backlog.tokens, now};
+    constexpr std::uint64_t seed = 0x6261'636b'6c6f'67;
+    return stableHash(start, seed);
 }
 
-std::uint64_t peerBacklog(const KnownServer &server, TimePoint now)
+std::map<std::string, std::uint64_t> takeChangedBacklogs(Servers &servers)
 {
-    std::uint64_t tokens = 0;
-    for (const auto &[peer, it] : server.peerBacklogs) {
-        if (now - it.updatedAt < peerBacklogExpiry)
-            tokens += it.tokens;
+    std::map<std::string, std::uint64_t> backlogs;
+    for (const std::string &start : std::exchange(servers.changedBacklogs, {})) {
+        const auto it = servers.known.find(start);
+        // A server that has left the list has no backlog any more.
+        backlogs[start] = it == servers.known.end()
+            ? 0
+            : static_cast<std::uint64_t>(
+                routing::outstandingTokens(servers.fleet.upstreams[it->second.slot]));
     }
-    return tokens;
+    return backlogs;
+}
+
+bool setBacklogOfOthers(Servers &servers, std::uint64_t key, std::int64_t tokens,
+                        TimePoint decreasedAt, TimePoint now)
+{
+    const auto start = servers.startsByKey.find(key);
+    if (start == servers.startsByKey.end())
+        return false;
+    KnownServer &server = servers.known.at(start->second);
+    recordWorkStart(servers, server, now);
+    server.lastProgressAt = std::max(server.lastProgressAt, decreasedAt);
+    server.backlogOfOthers = static_cast<std::uint64_t>(std::max<std::int64_t>(0, tokens));
+    return true;
 }
 
 void recordFirstToken(Servers &servers, const Pick &pick, TimePoint now)
@@ -325,6 +336,7 @@
     if (servers.known.count(pick.start) == 0)
         return;
     routing::recordFirstToken(servers.fleet, pick.slot, pick.ticket, now);
+    servers.changedBacklogs.insert(pick.start);
     KnownServer &server = servers.known.at(pick.start);
     server.lastProgressAt = now;
     server.unreachableObservedAt.clear();
@@ -339,6 +351,7 @@
         return;
     routing::recordPause(servers.fleet.upstreams[pick.slot].engineSpeed, pause);
     routing::recordPause(it->second.unreportedPauses, pause);
+    servers.changedPauses.insert(pick.start);
 }
 
 void applyPeerPace(Servers &servers, const ServerPace &engineSpeed)
@@ -358,6 +371,7 @@
     if (it == servers.known.end())
         return;
     it->second.running -= std::min(1U, it->second.running);
+    servers.changedBacklogs.insert(pick.start);
     const bool wasNotRead = end == AttemptEnd::Refused || end == AttemptEnd::Misdirected
         || end == AttemptEnd::NotConnected;
     for (const routing::BlockHash block : pick.blocks) {
--- a/lib/gateway/servers.h
+++ b/lib/gateway/servers.h
@@ -22,17 +22,11 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace kumquathaven::gateway {
 
-/// Prompt tokens of one instance that wait at a server, as of a time.
-struct ReportedBacklog
-{
-    std::uint64_t tokens = 0;
-    TimePoint updatedAt{};
-};
-
 /// State of one start of a server, in addition to the routing tables.
 struct KnownServer
 {
@@ -42,10 +36,8 @@
     bool isMoved = false;
     /// Number of requests of this instance that run there.
     std::uint32_t running = 0;
-    /// By instance, the prompt tokens that it sent there and that have no first token yet.
-    std::map<std::string, ReportedBacklog> peerBacklogs;
-    /// Backlog of this instance that was last reported to the other instances.
-    ReportedBacklog reported;
+    /// Prompt tokens that all other instances together sent there and that have no first token yet.
+    std::uint64_t backlogOfOthers = 0;
     /// When the server last returned a first token or started to work after being idle.
     TimePoint lastProgressAt{};
     /// Until this time the server gets requests only if no other server accepts them, because it
@@ -75,13 +67,6 @@
     std::string store;
 };
 
-/// Prompt tokens of one instance that wait at a server.
-struct ServerBacklog
-{
-    std::string start;
-    std::uint64_t tokens = 0;
-};
-
 /// Kinds of facts about a server that an instance observes and that its peers would otherwise have
 /// to find out with requests of their own.
 enum class ObservationKind {
@@ -168,6 +153,12 @@
     std::vector<PlacedPrompt> unreportedPrompts;
     /// Observations that were not reported to the other instances yet.
     std::vector<ServerObservation> observations;
+    /// Starts with new pauses in KnownServer::unreportedPauses.
+    std::set<std::string> changedPauses;
+    /// Starts whose backlog of this instance changed since it was last reported.
+    std::set<std::string> changedBacklogs;
+    /// Starts by the key of their backlogs.
+    std::unordered_map<std::uint64_t, std::string> startsByKey;
 };
 
 /// Input of the choice in addition to the state of the servers.
@@ -252,13 +243,17 @@
 /// Applies the report of another instance whether a prompt that it had saved is in the store.
 void applyStoreUpdate(Servers &servers, const StoreUpdate &update, TimePoint now);
 
-/// Applies the report of another instance on its backlog at a server.
-void applyPeerBacklog(Servers &servers, const std::string &peer, const ServerBacklog &backlog,
-                      TimePoint now);
+/// Returns the key under which instances report their backlogs at a server.
+std::uint64_t backlogKey(const std::string &start);
+
+/// Returns this instance's backlogs in prompt tokens, by start, that changed since the last call.
+std::map<std::string, std::uint64_t> takeChangedBacklogs(Servers &servers);
 
-/// Returns the prompt tokens of other instances that wait at a server. A report that was not
-/// repeated in time is not counted.
-std::uint64_t peerBacklog(const KnownServer &server, TimePoint now);
+/// Sets the prompt tokens that all other instances together have waiting at a server, and when that
+/// sum last decreased anywhere, which shows that the server makes progress. Returns false if the
+/// key is not that of a known server.
+bool setBacklogOfOthers(Servers &servers, std::uint64_t key, std::int64_t tokens,
+                        TimePoint decreasedAt, TimePoint now);
 
 /// How an attempt ended.
 enum class AttemptEnd {
--- a/lib/gateway/servertables.h
+++ b/lib/gateway/servertables.h
@@ -12,9 +12,6 @@
 /// tens of blocks.
 constexpr std::uint32_t blockTokens = 1'024;
 
-/// Interval after which an unchanged backlog is reported again.
-constexpr Duration backlogInterval = std::chrono::seconds(1);
-
 /// Returns how long a prompt that is sent to a server now waits for the prompts that all instances
 /// sent there before.
 Duration expectedWait(const Servers &servers, const KnownServer &server, TimePoint now);
--- a/lib/gateway/tokenlimits.cpp
+++ b/lib/gateway/tokenlimits.cpp
@@ -1,23 +1,26 @@
 #include "tokenlimits.h"
 
+#include "kumquathaven/base/hash.h"
+
 #include <algorithm>
 #include <cmath>
-#include <set>
 #include <utility>
 
 namespace kumquathaven::gateway {
 
 namespace {
 
-/// Time between two reports to each other instance, while there are few instances.
-constexpr Duration reportInterval = std::chrono::milliseconds(400);
-/// Maximum number of messages a second from one instance, so that their total grows with the number
-/// of instances and not with its square.
-constexpr double maxMessagesPerSecond = 40;
+/// Time between two reports of demand, and between two reports of spending.
+constexpr Duration demandInterval = std::chrono::milliseconds(400);
+constexpr Duration spendingInterval = std::chrono::milliseconds(100);
 /// After spending from a pool a report is sent this soon, so that other instances do not spend the
-/// same tokens, with at most maxUrgentMessagesPerSecond messages a second.
-constexpr Duration urgentInterval = std::chrono::milliseconds(50);
-constexpr double maxUrgentMessagesPerSecond = 400;
+/// same tokens.
+constexpr Duration urgentInterval = std::chrono::milliseconds(25);
+constexpr std::uint64_t demandSeed = 0x6465'6d61'6e64;
+constexpr std::uint64_t spendingSeed = 0x7370'656e'74;
+/// Customers whose demand elsewhere is remembered before they send a request to this instance;
+/// several times the number that the system is designed for.
+constexpr std::size_t maxUnknownCustomers = 10'000;
 /// Minimum time after which a refused caller is asked to retry; maxRetryAfter is the maximum.
 constexpr Duration minRetryAfter = std::chrono::milliseconds(100);
 /// Share of the slack that may be used as debt; the remainder covers spending that instances have
@@ -34,23 +37,38 @@
 
 } // namespace
 
-TokenLimits::TokenLimits(std::string instance, std::uint64_t incarnation, double slackTokens,
-                         std::function<void(const std::string &, const std::string &)> send)
-    : m_instance(std::move(instance))
-    , m_send(std::move(send))
+std::uint64_t demandKey(const std::string &customer)
+{
+    return stableHash(customer, demandSeed);
+}
+
+std::uint64_t spendingKey(const std::string &customer)
+{
+    return stableHash(customer, spendingSeed);
+}
+
+TokenLimits::TokenLimits(double slackTokens)
 {
-    m_shares.incarnation = incarnation;
     m_shares.config.debtTokens = usedSlackShare * slackTokens;
 }
 
-void TokenLimits::updateInstances(const catalogue::Instances &instances)
+void TokenLimits::setInstances(std::size_t instances, std::size_t known)
 {
-    std::set<std::string> others;
-    for (const auto &[name, it] : instances.entries) {
-        if (name != m_instance && it.state != catalogue::InstanceState::Starting)
-            others.insert(name);
-    }
-    limits::updatePeers(m_shares, others);
+    limits::setInstances(m_shares, instances, known);
+}
+
+/// Makes the keys of a customer known, and applies what was learned of it before.
+void TokenLimits::learnCustomer(const std::string &customer)
+{
+    const std::uint64_t key = demandKey(customer);
+    if (!m_customers.emplace(key, customer).second)
+        return;
+    m_customers.emplace(spendingKey(customer), customer);
+    const auto demand = m_unknownDemand.find(key);
+    if (demand == m_unknownDemand.end())
+        return;
+    limits::setDemandOfOthers(m_shares, customer, static_cast<double>(demand->second));
+    m_unknownDemand.erase(demand);
 }
 
 Result<limits::Spending> TokenLimits::spend(const deployment::Customer &customer,
@@ -58,10 +76,13 @@
 {
     if (customer.rateTokensPerSecond == 0)
         return limits::Spending{};
+    learnCustomer(customer.name);
     const limits::SpendResult answer =
         limits::spend(m_shares, customer.name, limitsOf(customer), tokens, now);
-    if (answer.spending)
+    if (answer.spending) {
+        m_hasUrgentSpending = m_hasUrgentSpending || answer.spending->isPooled;
         return *answer.spending;
+    }
     return fail({ErrorCode::RateLimited,
                  "limits.spend",
                  {},
@@ -82,31 +103,36 @@
         limits::giveBack(m_shares, customer.name, limitsOf(customer), spending, now);
 }
 
-bool TokenLimits::handleMessage(const std::string &from, const std::string &body, TimePoint now)
+LimitsReport TokenLimits::takeReport(TimePoint now)
+{
+    LimitsReport report;
+    if (now - m_demandReportedAt >= demandInterval) {
+        m_demandReportedAt = now;
+        report.demand = limits::ownDemand(m_shares, now);
+    }
+    const Duration interval = m_hasUrgentSpending ? urgentInterval : spendingInterval;
+    if (now - m_spendingReportedAt >= interval) {
+        m_spendingReportedAt = now;
+        m_hasUrgentSpending = false;
+        report.spent = limits::takeUnreportedSpending(m_shares);
+    }
+    return report;
+}
+
+void TokenLimits::setDemandOfOthers(std::uint64_t key, std::int64_t tokensPerSecond)
 {
-    return orElse(
-        [&]() -> Result<bool> {
-            BOOST_LEAF_AUTO(report, limits::decodeReport(body, from));
-            limits::applyReport(m_shares, from, std::move(report), now);
-            return true;
-        },
-        [](const Error &) {
-            return false;
-        });
+    const auto customer = m_customers.find(key);
+    if (customer != m_customers.end())
+        limits::setDemandOfOthers(m_shares, customer->second, static_cast<double>(tokensPerSecond));
+    else if (m_unknownDemand.size() < maxUnknownCustomers || m_unknownDemand.count(key) > 0)
+        m_unknownDemand[key] = tokensPerSecond;
 }
 
-void TokenLimits::tick(TimePoint now)
+void TokenLimits::applySpendingOfOthers(std::uint64_t key, std::int64_t tokens, TimePoint now)
 {
-    const auto others = static_cast<double>(m_shares.peers.size());
-    const Duration interval = m_shares.hasUnreportedSpending
-        ? std::max(urgentInterval, fromSeconds(others / maxUrgentMessagesPerSecond))
-        : std::max(reportInterval, fromSeconds(others / maxMessagesPerSecond));
-    if (now - m_lastReportAt < interval)
-        return;
-    m_lastReportAt = now;
-    const std::string body = limits::encodeReport(limits::makeReport(m_shares, now));
-    for (const auto &it : m_shares.peers)
-        m_send(it.first, body);
+    const auto customer = m_customers.find(key);
+    if (customer != m_customers.end())
+        limits::applySpendingOfOthers(m_shares, customer->second, static_cast<double>(tokens), now);
 }
 
 } // namespace kumquathaven::gateway
--- a/lib/gateway/tokenlimits.h
+++ b/lib/gateway/tokenlimits.h
@@ -5,27 +5,34 @@
 #define KUMQUATHAVEN_LIB_GATEWAY_TOKENLIMITS_H
 
 #include "kumquathaven/base/result.h"
-#include "kumquathaven/catalogue/instances.h"
 #include "kumquathaven/deployment/plan.h"
 #include "kumquathaven/limits/shares.h"
 
 #include <cstdint>
-#include <functional>
+#include <map>
 #include <string>
+#include <unordered_map>
 
 namespace kumquathaven::gateway {
 
+/// One instance's use of customers' limits.
+struct LimitsReport
+{
+    /// Demand in tokens per second, and tokens spent since the last report, by customer.
+    std::map<std::string, std::int64_t> demand;
+    std::map<std::string, std::int64_t> spent;
+};
+
 /// Used on the loop's thread only.
 class TokenLimits
 {
 public:
-    /// \p slackTokens may be spent beyond rate and burst, over all instances together. \p send
-    /// sends a message to another instance; a lost message is followed by a newer one.
-    TokenLimits(std::string instance, std::uint64_t incarnation, double slackTokens,
-                std::function<void(const std::string &, const std::string &)> send);
+    /// \p slackTokens may be spent beyond rate and burst, over all instances together.
+    explicit TokenLimits(double slackTokens);
 
-    /// Applies the current set of instances.
-    void updateInstances(const catalogue::Instances &instances);
+    /// Sets the number of live instances, and of those whose demand and spending are known here,
+    /// each including this one.
+    void setInstances(std::size_t instances, std::size_t known);
 
     /// Takes tokens from the account of a customer. The error is RateLimited and has the time after
     /// which to retry.
@@ -36,20 +43,31 @@
     void giveBack(const deployment::Customer &customer, const limits::Spending &spending,
                   TimePoint now);
 
-    /// Handles a report of another instance. Returns whether it was well formed.
-    bool handleMessage(const std::string &from, const std::string &body, TimePoint now);
+    /// Returns what is due to be reported to the other instances.
+    LimitsReport takeReport(TimePoint now);
 
-    /// Sends a report of the demand and the spending of customers here to all other instances, when
-    /// one is due.
-    void tick(TimePoint now);
+    /// Apply the demand and the spending at all other instances together, which have the keys
+    /// below. Unknown keys are ignored.
+    void setDemandOfOthers(std::uint64_t key, std::int64_t tokensPerSecond);
+    void applySpendingOfOthers(std::uint64_t key, std::int64_t tokens, TimePoint now);
 
 private:
-    const std::string m_instance;
-    std::function<void(const std::string &, const std::string &)> m_send;
+    void learnCustomer(const std::string &customer);
+
     limits::Shares m_shares;
-    TimePoint m_lastReportAt{};
+    /// Customers by the keys of their demand and of their spending.
+    std::unordered_map<std::uint64_t, std::string> m_customers;
+    /// Demand at the other instances of customers that sent no request to this one yet, by key.
+    std::unordered_map<std::uint64_t, std::int64_t> m_unknownDemand;
+    TimePoint m_demandReportedAt{};
+    TimePoint m_spendingReportedAt{};
+    bool m_hasUrgentSpending = false;
 };
 
+/// Returns the keys under which instances report a customer's demand and spending.
+std::uint64_t demandKey(const std::string &customer);
+std::uint64_t spendingKey(const std::string &customer);
+
 } // namespace kumquathaven::gateway
 
 #endif // KUMQUATHAVEN_LIB_GATEWAY_TOKENLIMITS_H
--- a/test/fuzz/entries.cpp
+++ b/test/fuzz/entries.cpp
@@ -1,5 +1,5 @@
-// Feeds arbitrary bytes to the readers of what entries tell each other: the list of servers, where
-// prompts went, and what they wait for at servers.
+// Feeds arbitrary bytes to the readers of what entries tell each other: the list of servers, and
+// events about prompts and servers.
 
 #include "listsharing.h"
 #include "peerupdate.h"
@@ -9,10 +9,11 @@
 
 namespace {
 
-Result<std::string> newsAgain(std::string_view bytes)
+Result<std::string> eventAgain(std::string_view bytes)
 {
-    BOOST_LEAF_AUTO(news, gateway::decodePeerUpdate(bytes, "fuzz"));
-    return gateway::encodePeerUpdate(news);
+    BOOST_LEAF_AUTO(update, gateway::decodeEvent(bytes, "fuzz"));
+    const auto events = gateway::encodeEvents(update);
+    return events.empty() ? std::string() : events.front().bytes;
 }
 
 Result<std::string> listAgain(std::string_view bytes)
@@ -32,7 +33,7 @@
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     const std::string_view bytes = fuzz::bytesOf(data, size);
-    fuzz::checkStable(bytes, newsAgain);
+    fuzz::checkStable(bytes, eventAgain);
     fuzz::checkStable(bytes, listAgain);
     fuzz::checkStable(bytes, questionAgain);
     return 0;
--- a/unittests/gateway/enginefixture.h
+++ b/unittests/gateway/enginefixture.h
@@ -3,6 +3,7 @@
 #ifndef KUMQUATHAVEN_UNITTESTS_GATEWAY_ENGINEFIXTURE_H
 #define KUMQUATHAVEN_UNITTESTS_GATEWAY_ENGINEFIXTURE_H
 
+#include "peerupdate.h"
 #include "servers.h"
 
 #include <string>
@@ -34,6 +35,21 @@
     return it;
 }
 
+/// Returns the events of an update as another instance decodes them.
+inline std::vector<PeerUpdate> decoded(const PeerUpdate &update)
+{
+    std::vector<PeerUpdate> updates;
+    for (const overlay::Event &it : encodeEvents(update))
+        updates.push_back(orElse(
+            [&] {
+                return decodeEvent(it.bytes, "peer");
+            },
+            [](const Error &) {
+                return PeerUpdate();
+            }));
+    return updates;
+}
+
 /// A plan with an engine service, a store and a plain service, and a request with a shared prompt.
 struct EngineFixture
 {
--- a/unittests/gateway/enginesimulation.h
+++ b/unittests/gateway/enginesimulation.h
@@ -7,14 +7,15 @@
 #include "overload.h"
 #include "peerupdate.h"
 #include "servers.h"
-#include "updatebudget.h"
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <queue>
 #include <random>
+#include <string>
 
 namespace gatewaytest {
 
@@ -44,7 +45,6 @@
 /// Minimum size of the largest tenth of long prompts.
 constexpr std::uint64_t minLargestTokens = 31'000;
 constexpr std::uint64_t shortTokens = 300;
-inline const Duration updateTick = milliseconds(25);
 inline const Duration longObjective = milliseconds(800);
 inline const Duration shortObjective = milliseconds(500);
 /// Time limits of callers.
@@ -115,8 +115,9 @@
     bool measuresPauses = true;
     /// Instances report these pauses to each other.
     bool sharesPauses = true;
-    /// Fixed interval between updates; if empty, updates are sent as the update budget allows.
-    std::optional<Duration> updateInterval;
+    /// Interval at which instances learn what the others did: about the age that this knowledge has
+    /// in a deployment (unittests/overlay/networktest.cpp).
+    Duration updateInterval = milliseconds(75);
     /// Instances refuse requests whose answers would be late.
     bool refuses = false;
     /// Load relative to the usual rate of requests for each engine.
@@ -138,7 +139,6 @@
         , m_instances(config.instances)
         , m_engines(config.engines)
         , m_refusals(config.instances)
-        , m_updateBudgets(config.instances)
     {
         deployment::Service engines;
         engines.name = "engines";
@@ -171,7 +171,7 @@
         TimePoint nextUpdate = m_startedAt;
         while (now < m_startedAt + std::chrono::seconds(10)) {
             now += fromSeconds(pause(m_random));
-            for (; nextUpdate <= now; nextUpdate += updateTick)
+            for (; nextUpdate <= now; nextUpdate += m_config.updateInterval)
                 sendUpdates(nextUpdate);
             for (; !m_events.empty() && m_events.top().dueAt <= now; m_events.pop())
                 m_events.top().run();
@@ -190,6 +190,14 @@
         bool operator>(const Event &other) const { return dueAt > other.dueAt; }
     };
 
+    /// Prompt tokens that wait at a server.
+    struct Backlogs
+    {
+        std::map<const Servers *, std::uint64_t> byInstance;
+        std::uint64_t total = 0;
+        TimePoint decreasedAt{};
+    };
+
     /// A request as its caller sends it.
     struct SimulatedRequest
     {
@@ -204,35 +212,40 @@
         bool isRetry = false;
     };
 
-    /// Returns whether an instance may send an update now, and records that it does.
-    bool shouldSendUpdate(const Servers &from, TimePoint now)
-    {
-        UpdateBudget &budget =
-            m_updateBudgets[static_cast<std::size_t>(&from - m_instances.data())];
-        const std::size_t others = m_instances.size() - 1;
-        const bool maySend = m_config.updateInterval
-            ? now - budget.lastSentAt >= *m_config.updateInterval
-            : maySendUpdate(budget, others, !from.unreportedPrompts.empty(), now);
-        if (maySend)
-            recordUpdateSent(budget, others, now);
-        return maySend;
-    }
-
+    /// Lets every instance know what all others did since the last call.
     void sendUpdates(TimePoint now)
     {
         for (Servers &from : m_instances) {
-            if (!shouldSendUpdate(from, now))
-                continue;
-            PeerUpdate update = takeUpdate(from, now);
-            if (!m_config.sharesBacklogs)
-                update.backlogs.clear();
+            PeerUpdate update = takeUpdate(from, std::to_string(&from - m_instances.data()));
             if (!m_config.sharesPauses)
                 update.paces.clear();
             for (Servers &to : m_instances) {
                 if (&to != &from)
-                    applyPeerUpdate(to, std::to_string(&from - m_instances.data()), update, now);
+                    applyPeerUpdate(to, update, now);
             }
         }
+        if (m_config.sharesBacklogs)
+            shareBacklogs(now);
+    }
+
+    void shareBacklogs(TimePoint now)
+    {
+        for (Servers &from : m_instances) {
+            for (const auto &[start, tokens] : takeChangedBacklogs(from)) {
+                Backlogs &backlogs = m_backlogs[start];
+                std::uint64_t &own = backlogs.byInstance[&from];
+                if (tokens < own)
+                    backlogs.decreasedAt = now;
+                backlogs.total += tokens - own;
+                own = tokens;
+            }
+        }
+        for (auto &[start, it] : m_backlogs) {
+            for (Servers &to : m_instances)
+                setBacklogOfOthers(to, backlogKey(start),
+                                   static_cast<std::int64_t>(it.total - it.byInstance[&to]),
+                                   it.decreasedAt, now);
+        }
     }
 
     void send(bool isLong, TimePoint now)
@@ -359,7 +372,7 @@
     std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
     std::uint64_t m_number = 0;
     std::vector<RefusalRate> m_refusals;
-    std::vector<UpdateBudget> m_updateBudgets;
+    std::map<std::string, Backlogs> m_backlogs;
     LateCounts m_lateCounts;
 };
 
--- a/unittests/gateway/listsharingtest.cpp
+++ b/unittests/gateway/listsharingtest.cpp
@@ -2,8 +2,9 @@
 
 #include <doctest/doctest.h>
 
-#include <algorithm>
-#include <map>
+#include <set>
+#include <string>
+#include <vector>
 
 using namespace kumquathaven;
 using namespace kumquathaven::gateway;
@@ -28,51 +29,42 @@
     return it;
 }
 
-std::string nameOf(std::size_t n)
-{
-    return "entry-" + std::to_string(n);
-}
-
-catalogue::Instances instancesOf(std::size_t n)
-{
-    catalogue::Instances instances;
-    for (std::size_t i = 0; i < n; ++i) {
-        catalogue::Instance it;
-        it.name = nameOf(i);
-        it.state = catalogue::InstanceState::Serving;
-        instances.entries[it.name] = it;
-    }
-    return instances;
-}
-
-/// Instances that exchange messages without loss, except for stopped ones.
+/// Instances in a tree: instance n has the parent (n - 1) / fanOut, and instance 0 is the root.
+/// Messages arrive without loss, except those of stopped instances.
 struct Deployment
 {
+    static constexpr std::size_t fanOut = 8;
+
     explicit Deployment(std::size_t n)
+        : all(n)
+        , readAt(n)
     {
-        for (std::size_t i = 0; i < n; ++i) {
-            ListSharing &it = all[nameOf(i)];
-            it.instance = nameOf(i);
-            updateReaders(it, instancesOf(n), start);
+        for (ListSharing &it : all) {
+            it.knowsInstances = true;
+            it.readAt = start;
         }
+        all[0].isReader = true;
     }
 
     /// Runs all actions of every instance that are due at \p now.
     void step(TimePoint now)
     {
-        for (auto &[name, it] : all) {
-            if (stopped.count(name) > 0)
+        for (std::size_t n = 0; n < all.size(); ++n) {
+            ListSharing &it = all[n];
+            if (stopped.count(n) > 0)
                 continue;
-            const bool isDue = now - readAt[name] >= seconds(1);
-            if (shouldRead(it, now) && isDue) {
+            if (shouldRead(it, now) && now - readAt[n] >= seconds(1)) {
                 ++readCount;
-                readAt[name] = now;
-                for (const std::string &recipients : applyReadList(it, list, now))
-                    applyAnswer(all[recipients], {it.digest, Duration(0), it.servers}, now);
+                readAt[n] = now;
+                applyReadList(it, list, now);
             }
-            const auto asked = nextReaderToAsk(it, now);
-            if (asked && stopped.count(*asked) == 0)
-                applyAnswer(it, answerListRequest(all[*asked], name, it.digest, now), now);
+            const std::size_t parent = (n - 1) / fanOut;
+            if (n == 0 || stopped.count(parent) > 0)
+                continue;
+            const ListSharing &source = all[parent];
+            applyFreshness(it, {source.digest, now - source.readAt}, now);
+            if (shouldRequest(it, now))
+                applyAnswer(it, answerListRequest(source, it.digest, now), now);
         }
     }
 
@@ -82,27 +74,19 @@
             step(now);
     }
 
-    std::vector<std::string> readers() const
-    {
-        std::vector<std::string> names;
-        for (const auto &it : all) {
-            if (it.second.isReader)
-                names.push_back(it.first);
-        }
-        return names;
-    }
-
     bool allKnow(std::size_t servers) const
     {
-        return std::all_of(all.begin(), all.end(), [&](const auto &it) {
-            return stopped.count(it.first) > 0
-                || (it.second.servers != nullptr && it.second.servers->size() == servers);
-        });
+        for (std::size_t n = 0; n < all.size(); ++n) {
+            const bool knows = all[n].servers != nullptr && all[n].servers->size() == servers;
+            if (!knows && stopped.count(n) == 0)
+                return false;
+        }
+        return true;
     }
 
-    std::map<std::string, ListSharing> all;
-    std::map<std::string, TimePoint> readAt;
-    std::set<std::string> stopped;
+    std::vector<ListSharing> all;
+    std::vector<TimePoint> readAt;
+    std::set<std::size_t> stopped;
     ServerList list{server("a"), server("b")};
     std::uint32_t readCount = 0;
 };
@@ -120,71 +104,67 @@
 
 } // namespace
 
-TEST_CASE("a few instances read the list for all")
+TEST_CASE("one instance reads the list for all, however many there are")
 {
-    Deployment deployment(85);
-    TimePoint now = start;
-    deployment.run(now, seconds(10));
-    CHECK(deployment.allKnow(2));
-    CHECK(deployment.readers().size() == 3);
-    // Each instance reads once when it starts.
-    CHECK(deployment.readCount <= 85 + 3 * 11);
+    for (const std::size_t n : {16U, 85U, 291U, 1000U}) {
+        CAPTURE(n);
+        Deployment deployment(n);
+        TimePoint now = start;
+        deployment.run(now, seconds(10));
+        CHECK(deployment.allKnow(2));
+        CHECK(deployment.readCount <= 11);
+        for (const ListSharing &it : deployment.all)
+            CHECK(now - it.readAt < milliseconds(1200));
+    }
 }
 
 TEST_CASE("a change reaches every instance within one read interval")
 {
-    Deployment deployment(85);
+    Deployment deployment(291);
     TimePoint now = start;
     deployment.run(now, seconds(5));
     deployment.list.push_back(server("c"));
-    deployment.run(now, milliseconds(1050));
+    deployment.run(now, milliseconds(1150));
     CHECK(deployment.allKnow(3));
 }
 
-TEST_CASE("lists stay up to date when readers stop answering")
+TEST_CASE("lists stay up to date when a parent stops responding and is not replaced")
 {
     Deployment deployment(57);
     TimePoint now = start;
     deployment.run(now, seconds(5));
-    const std::vector<std::string> readers = deployment.readers();
-    SUBCASE("one of them")
+    SUBCASE("the parent of some")
     {
-        deployment.stopped.insert(readers[0]);
-        deployment.run(now, seconds(1));
-        deployment.readCount = 0;
-        deployment.list.push_back(server("c"));
-        deployment.run(now, seconds(2));
-        CHECK(deployment.allKnow(3));
-        CHECK(deployment.readCount <= 2 * 3);
+        deployment.stopped.insert(2);
     }
-    SUBCASE("all of them")
+    SUBCASE("the root")
     {
-        deployment.stopped.insert(readers.begin(), readers.end());
-        deployment.list.push_back(server("c"));
-        deployment.run(now, milliseconds(3300));
-        CHECK(deployment.allKnow(3));
+        deployment.stopped.insert(0);
     }
+    deployment.list.push_back(server("c"));
+    deployment.run(now, milliseconds(3300));
+    CHECK(deployment.allKnow(3));
 }
 
-TEST_CASE("an instance that starts reads at once, whether it knows the others or not")
+TEST_CASE("an instance that starts waits for the list of its parent, and then reads it itself")
 {
     ListSharing sharing;
-    sharing.instance = nameOf(0);
-    CHECK(shouldRead(sharing, start));
-    CHECK_FALSE(nextReaderToAsk(sharing, start));
-    updateReaders(sharing, instancesOf(57), start);
-    sharing.isReader = false;
-    CHECK(shouldRead(sharing, start));
-    applyReadList(sharing, {server("a")}, start);
-    CHECK_FALSE(shouldRead(sharing, start + milliseconds(25)));
+    sharing.readAt = start;
+    sharing.knowsInstances = true;
+    CHECK_FALSE(shouldRead(sharing, start + seconds(1)));
+    CHECK(shouldRead(sharing, start + milliseconds(2300)));
+    sharing.isReader = true;
+    CHECK(shouldRead(sharing, start + milliseconds(1)));
+    // Before it knows of any other instance, it does not know whether it is the root.
+    sharing.knowsInstances = false;
+    CHECK_FALSE(shouldRead(sharing, start + milliseconds(1)));
 }
 
-TEST_CASE("an instance whose read failed backs off and leaves the calls to the readers")
+TEST_CASE("an instance whose read failed backs off and leaves the calls to the reader")
 {
     ListSharing sharing;
-    sharing.instance = nameOf(0);
-    updateReaders(sharing, instancesOf(57), start);
-    sharing.isReader = false;
+    sharing.readAt = start - seconds(10);
+    sharing.knowsInstances = true;
     sharing.lastFailureAt = start;
     CHECK_FALSE(shouldRead(sharing, start + milliseconds(500)));
     CHECK(shouldRead(sharing, start + seconds(2)));
@@ -200,18 +180,63 @@
     CHECK(applyAnswer(sharing, {1, milliseconds(100), younger}, start));
     CHECK_FALSE(applyAnswer(sharing, {2, milliseconds(900), older}, start));
     CHECK(sharing.servers == younger);
+    applyFreshness(sharing, {2, milliseconds(900)}, start);
+    CHECK_FALSE(shouldRequest(sharing, start));
+    // The same list is as fresh as the parent says.
+    applyFreshness(sharing, {1, milliseconds(50)}, start + seconds(1));
+    CHECK(sharing.readAt == start + milliseconds(950));
+}
+
+TEST_CASE("a request that is not answered is repeated")
+{
+    ListSharing sharing;
+    sharing.readAt = start;
+    applyFreshness(sharing, {5, milliseconds(10)}, start);
+    CHECK(shouldRequest(sharing, start));
+    CHECK_FALSE(shouldRequest(sharing, start + milliseconds(100)));
+    CHECK(shouldRequest(sharing, start + milliseconds(200)));
+    // A parent without a recent list has nothing to offer.
+    ListSharing other;
+    applyFreshness(other, {0, Duration(0)}, start);
+    applyFreshness(other, {5, seconds(3)}, start);
+    CHECK_FALSE(shouldRequest(other, start));
 }
 
 TEST_CASE("the order of servers and their warm-up time do not count as changes")
 {
     ListSharing sharing;
-    sharing.requesters["b"] = start;
-    CHECK(applyReadList(sharing, {server("a"), server("b")}, start).size() == 1);
+    applyReadList(sharing, {server("a"), server("b")}, start);
+    const std::uint64_t digest = sharing.digest;
     ServerList again{server("b"), server("a")};
     again[0].remainingWarmup = Duration(0);
-    CHECK(applyReadList(sharing, again, start).empty());
+    applyReadList(sharing, again, start);
+    CHECK(sharing.digest == digest);
     again[0].isDraining = true;
-    CHECK(applyReadList(sharing, again, start).size() == 1);
+    applyReadList(sharing, again, start);
+    CHECK(sharing.digest != digest);
+}
+
+TEST_CASE("an odd value of one server does not make the list unreadable for other instances")
+{
+    deployment::ListedServer odd = server("odd");
+    odd.remainingWarmup = std::chrono::hours(300);
+    odd.slots = UINT32_MAX;
+    odd.startedAt = UINT64_MAX;
+    odd.weights["m"] = UINT64_MAX;
+    const auto servers = std::make_shared<const ServerList>(ServerList{server("a"), odd});
+    const ListMessage message = decoded(encodeList({7, Duration(0), servers}));
+    REQUIRE(message.servers);
+    CHECK(message.servers->size() == 2);
+}
+
+TEST_CASE("digest and age survive encoding, and a malformed note is ignored")
+{
+    const auto freshness = decodeFreshness(encodeFreshness({UINT64_MAX, milliseconds(40)}));
+    REQUIRE(freshness);
+    CHECK(freshness->digest == UINT64_MAX);
+    CHECK(freshness->age == milliseconds(40));
+    for (const char *it : {"", "x", "\x82\x01", "\x81\x01"})
+        CHECK_FALSE(decodeFreshness(it));
 }
 
 TEST_CASE("an encoded list decodes to the same list, and malformed messages are rejected")
--- a/unittests/gateway/manyserverstest.cpp
+++ b/unittests/gateway/manyserverstest.cpp
@@ -15,7 +15,7 @@
     config.instances = 57;
     config.engines = 89;
     config.load = 1.0;
-    // With old updates, instances that know the fast engines all choose these at the same time.
+    // With old knowledge, instances that know the fast engines all choose these at the same time.
     config.updateInterval = milliseconds(50);
     const LateCounts withReports = Simulation(config, speeds, 1).run();
     config.sharesPauses = false;
--- a/unittests/gateway/peerbacklogtest.cpp
+++ b/unittests/gateway/peerbacklogtest.cpp
@@ -1,3 +1,4 @@
+#include "enginefixture.h"
 #include "enginesimulation.h"
 
 #include <doctest/doctest.h>
@@ -58,33 +59,52 @@
     for (const std::string &it : starts)
         update.paces.push_back({it, pauseOf(it)});
     update.paces.push_back({"unknown", milliseconds(5)});
-    applyPeerUpdate(servers, "one", update, startedAt);
+    update.instance = "one";
+    applyPeerUpdate(servers, update, startedAt);
     routing::updateSpeedSteps(servers.fleet, startedAt + std::chrono::seconds(1));
     CHECK(speed("fast") == speed("slow"));
-    applyPeerUpdate(servers, "two", update, startedAt);
+    update.instance = "two";
+    applyPeerUpdate(servers, update, startedAt);
     routing::updateSpeedSteps(servers.fleet, startedAt + std::chrono::seconds(2));
     CHECK(speed("fast") > 1.5 * speed("slow"));
     // Received pauses are not reported again.
-    CHECK(takeUpdate(servers, startedAt + std::chrono::seconds(3)).paces.empty());
+    CHECK(takeUpdate(servers, "self").paces.empty());
 }
 
-TEST_CASE("the latest backlog report counts, and a report that is not repeated expires")
+TEST_CASE("the backlog of all other instances together counts towards the wait at a server")
 {
+    EngineFixture fixture;
     Servers servers;
-    deployment::ListedServer listed;
-    listed.id = "a";
-    listed.service = "engines";
-    listed.weights["m"] = 1;
-    const TimePoint startedAt = TimePoint(std::chrono::hours(1));
-    applyList(servers, {listed}, startedAt);
-    const KnownServer &server = servers.known.begin()->second;
-    const std::string start = servers.known.begin()->first;
-    applyPeerBacklog(servers, "one", {start, 4'000}, startedAt);
-    applyPeerBacklog(servers, "two", {start, 10'000}, startedAt);
-    applyPeerBacklog(servers, "two", {start, 3'000}, startedAt + milliseconds(50));
-    applyPeerBacklog(servers, "two", {"unknown", 3'000}, startedAt + milliseconds(50));
-    CHECK(peerBacklog(server, startedAt + milliseconds(100)) == 7'000);
-    applyPeerBacklog(servers, "one", {start, 0}, startedAt + milliseconds(100));
-    CHECK(peerBacklog(server, startedAt + milliseconds(100)) == 3'000);
-    CHECK(peerBacklog(server, startedAt + std::chrono::seconds(10)) == 0);
+    fixture.list(servers, 2, 1, at(0));
+    const auto first = pick(servers, fixture.request(at(1)), at(1));
+    REQUIRE(first);
+    recordAttemptEnd(servers, *first, AttemptEnd::Answered, at(2));
+    CHECK(setBacklogOfOthers(servers, backlogKey(first->start), 500'000, {}, at(3)));
+    const KnownServer &server = servers.known.at(first->start);
+    CHECK(server.backlogOfOthers == 500'000);
+    fixture.head.requestId = "r2";
+    CHECK(pick(servers, fixture.request(at(4)), at(4))->start != first->start);
+    // A server that makes progress has a part of its backlog done.
+    CHECK(setBacklogOfOthers(servers, backlogKey(first->start), 400'000, at(50), at(60)));
+    CHECK(server.lastProgressAt == at(50));
+    CHECK(setBacklogOfOthers(servers, backlogKey(first->start), -1, {}, at(70)));
+    CHECK(server.backlogOfOthers == 0);
+    CHECK_FALSE(setBacklogOfOthers(servers, backlogKey("unknown"), 5, {}, at(70)));
+}
+
+TEST_CASE("a backlog is reported when it changes, and as zero once its server has left the list")
+{
+    EngineFixture fixture;
+    Servers servers;
+    fixture.list(servers, 1, 1, at(0));
+    CHECK(takeChangedBacklogs(servers).empty());
+    const auto sent = pick(servers, fixture.request(at(1)), at(1));
+    REQUIRE(sent);
+    CHECK(takeChangedBacklogs(servers).at(sent->start) >= 16'000);
+    CHECK(takeChangedBacklogs(servers).empty());
+    recordFirstToken(servers, *sent, at(300));
+    CHECK(takeChangedBacklogs(servers).at(sent->start) == 0);
+    pick(servers, fixture.request(at(301)), at(301));
+    applyList(servers, {}, at(400));
+    CHECK(takeChangedBacklogs(servers).at(sent->start) == 0);
 }
--- a/unittests/gateway/serverobservationtest.cpp
+++ b/unittests/gateway/serverobservationtest.cpp
@@ -41,16 +41,11 @@
 
     void sendUpdate(std::size_t n, TimePoint now)
     {
-        const PeerUpdate update = orElse(
-            [&] {
-                return decodePeerUpdate(encodePeerUpdate(takeUpdate(all[n], now)), "peer");
-            },
-            [](const Error &) {
-                return PeerUpdate();
-            });
-        for (std::size_t it = 0; it < all.size(); ++it) {
-            if (it != n)
-                applyPeerUpdate(all[it], std::to_string(n), update, now);
+        for (const PeerUpdate &update : decoded(takeUpdate(all[n], std::to_string(n)))) {
+            for (std::size_t it = 0; it < all.size(); ++it) {
+                if (it != n)
+                    applyPeerUpdate(all[it], update, now);
+            }
         }
     }
 
@@ -116,8 +111,8 @@
     CHECK(versionAt(t.all[0]) == "2");
     CHECK(versionAt(t.all[1]) == "2");
     // An observation is reported once, and not by the instances that received it.
-    CHECK(takeUpdate(t.all[0], at(2)).observations.empty());
-    CHECK(takeUpdate(t.all[1], at(2)).observations.empty());
+    CHECK(takeUpdate(t.all[0], "0").observations.empty());
+    CHECK(takeUpdate(t.all[1], "1").observations.empty());
     // An older version, an unknown model and an unknown server change nothing.
     applyObservation(t.all[1], "0", {sent.start, ObservationKind::Weights, model, 1}, at(2));
     applyObservation(t.all[1], "0", {sent.start, ObservationKind::Weights, "other", 9}, at(2));
--- a/unittests/gateway/serverstatetest.cpp
+++ b/unittests/gateway/serverstatetest.cpp
@@ -49,7 +49,8 @@
     const Pick leaving = t.pick(t.own, at(1));
     recordLeaving(t.own, leaving, at(2));
     recordAttemptEnd(t.own, leaving, AttemptEnd::Answered, at(3));
-    applyPeerUpdate(t.peer, "other", takeUpdate(t.own, at(4)), at(5));
+    for (const PeerUpdate &it : decoded(takeUpdate(t.own, "own")))
+        applyPeerUpdate(t.peer, it, at(5));
     for (int n = 0; n < 20; ++n) {
         t.fixture.head.requestId = "r" + std::to_string(n);
         CHECK(t.pick(t.own, at(10 + n)).start != leaving.start);
--- a/unittests/gateway/serverstest.cpp
+++ b/unittests/gateway/serverstest.cpp
@@ -63,20 +63,17 @@
     REQUIRE(first);
     CHECK(first->saveTo == "127.0.0.2:1");
     CHECK(first->fetchFrom == "127.0.0.2:1");
-    const PeerUpdate update = orElse(
-        [&] {
-            return decodePeerUpdate(encodePeerUpdate(takeUpdate(here, at(1))), "here");
-        },
-        [](const Error &) {
-            return PeerUpdate();
-        });
-    REQUIRE(update.prompts.size() == 1);
-    CHECK(update.prompts[0].parts.size() == 1);
-    REQUIRE(update.backlogs.size() == 1);
-    CHECK(update.backlogs[0].start == first->start);
+    const auto updates = decoded(takeUpdate(here, "here"));
+    REQUIRE(updates.size() == 1);
+    REQUIRE(updates[0].prompts.size() == 1);
+    CHECK(updates[0].prompts[0].parts.size() == 1);
+    const auto backlogs = takeChangedBacklogs(here);
+    REQUIRE(backlogs.size() == 1);
     // No part of the prompt was cached or could be fetched.
-    CHECK(update.backlogs[0].tokens == fixture.head.promptTokens);
-    applyPeerUpdate(there, "here", update, at(2));
+    CHECK(backlogs.at(first->start) == fixture.head.promptTokens);
+    applyPeerUpdate(there, updates[0], at(2));
+    setBacklogOfOthers(there, backlogKey(first->start),
+                       static_cast<std::int64_t>(fixture.head.promptTokens), {}, at(2));
     const auto second = gateway::pick(there, fixture.request(at(3)), at(3));
     REQUIRE(second);
     CHECK(second->saveTo.empty());
--- a/unittests/gateway/storedprompttest.cpp
+++ b/unittests/gateway/storedprompttest.cpp
@@ -35,23 +35,16 @@
     }
 
     /// Sends the unreported data of one instance to the other.
-    void sendUpdate(TimePoint now) { applyPeerUpdate(there, "here", takeEncodedUpdate(now), now); }
-
-    PeerUpdate takeEncodedUpdate(TimePoint now)
+    void sendUpdate(TimePoint now)
     {
-        return orElse(
-            [&] {
-                return decodePeerUpdate(encodePeerUpdate(takeUpdate(here, now)), "here");
-            },
-            [](const Error &) {
-                return PeerUpdate();
-            });
+        for (const PeerUpdate &it : decoded(takeUpdate(here, "here")))
+            applyPeerUpdate(there, it, now);
     }
 
-    /// Reports a backlog of a third instance at the server: two seconds of prefill.
-    void makeBusy(const Pick &pick, TimePoint now)
+    /// Reports a backlog of other instances at the server: two seconds of prefill.
+    void makeBusy(const Pick &pick, TimePoint now, std::int64_t tokens = 100'000)
     {
-        applyPeerBacklog(there, "third", {pick.start, 100'000}, now);
+        setBacklogOfOthers(there, backlogKey(pick.start), tokens, {}, now);
     }
 
     EngineFixture fixture;
@@ -78,7 +71,7 @@
     }
     SUBCASE("a reader that would take up the time to the deadline is not waited for")
     {
-        applyPeerBacklog(pair.there, "third", {first.start, 1'000'000}, at(2));
+        pair.makeBusy(first, at(2), 1'000'000);
         CHECK(pair.pick(pair.there, at(3)).start != first.start);
     }
     SUBCASE("an idle server fetches a prompt that is in the store")
@@ -166,12 +159,12 @@
     }
 }
 
-TEST_CASE("a malformed update is rejected with the name of its sender")
+TEST_CASE("a malformed event is rejected with the name of its sender")
 {
-    const auto decoded = [](std::string bytes) {
+    const auto resultOf = [](const std::string &bytes) {
         return orElse(
             [&]() -> Result<std::string> {
-                BOOST_LEAF_CHECK(decodePeerUpdate(bytes, "peer"));
+                BOOST_LEAF_CHECK(decodeEvent(bytes, "peer"));
                 return std::string("understood");
             },
             [](const Error &error) {
@@ -180,17 +173,31 @@
     };
     InstancePair pair;
     pair.pick(pair.here, at(1));
-    const std::string good = encodePeerUpdate(takeUpdate(pair.here, at(2)));
-    CHECK(decoded(good) == "understood");
+    const std::string good = encodeEvents(takeUpdate(pair.here, "here")).front().bytes;
+    CHECK(resultOf(good) == "understood");
     for (std::size_t n = 0; n < good.size(); ++n)
-        CHECK(decoded(good.substr(0, n)) == "peer");
+        CHECK(resultOf(good.substr(0, n)) == "peer");
     // A flipped byte yields an error or another well-formed update, but never a crash.
     for (std::size_t n = 0; n < good.size(); ++n) {
         for (const int change : {1, 0x20, 0x80}) {
             std::string bytes = good;
             bytes[n] = static_cast<char>(bytes[n] ^ change);
-            const std::string result = decoded(bytes);
+            const std::string result = resultOf(bytes);
             CHECK((result == "peer" || result == "understood"));
         }
     }
 }
+
+TEST_CASE("a placement that was reported is not reported again at once")
+{
+    InstancePair pair;
+    const Pick first = pair.pick(pair.here, at(1));
+    CHECK(takeUpdate(pair.here, "here").prompts.size() == 1);
+    recordFirstToken(pair.here, first, at(300));
+    recordAttemptEnd(pair.here, first, AttemptEnd::Answered, at(400));
+    pair.pick(pair.here, at(500));
+    CHECK(takeUpdate(pair.here, "here").prompts.empty());
+    // The others would forget it after some time.
+    pair.pick(pair.here, at(4'000));
+    CHECK(takeUpdate(pair.here, "here").prompts.size() == 1);
+}
--- a/unittests/limits/sharestest.cpp
+++ b/unittests/limits/sharestest.cpp
@@ -5,6 +5,8 @@
 #include <doctest/doctest.h>
 
 #include <deque>
+#include <map>
+#include <string>
 #include <vector>
 
 using namespace kumquathaven;
@@ -18,52 +20,64 @@
 
 constexpr Duration step = milliseconds(5);
 
-/// Instances that exchange reports at regular intervals, and sooner after spending from a pool.
+/// Instances that learn each other's demand at regular intervals, and each other's spending some
+/// time after it happened.
 struct Deployment
 {
     explicit Deployment(std::size_t n)
         : instances(n)
     {
-        for (std::size_t i = 0; i < n; ++i) {
-            instances[i].incarnation = i + 1;
-            setPeers(i, n);
-        }
+        for (Shares &it : instances)
+            setInstances(it, n, n);
     }
 
-    void setPeers(std::size_t self, std::size_t n)
+    /// Applies what is due. \p t is the time since the start.
+    void shareKnowledge(Duration t, TimePoint now)
     {
-        std::set<std::string> others;
-        for (std::size_t i = 0; i < n; ++i) {
-            if (i != self)
-                others.insert(std::to_string(i));
+        if (t % demandInterval == Duration(0))
+            shareDemand(now);
+        for (Shares &from : instances) {
+            for (const auto &[name, tokens] : takeUnreportedSpending(from))
+                underWay.push_back({now + delay, &from, name, tokens});
+        }
+        for (; !underWay.empty() && underWay.front().arrivesAt <= now; underWay.pop_front()) {
+            for (Shares &to : instances) {
+                if (&to != underWay.front().from)
+                    applySpendingOfOthers(to, underWay.front().customer,
+                                          static_cast<double>(underWay.front().tokens), now);
+            }
         }
-        updatePeers(instances[self], others);
     }
 
-    void sendReport(std::size_t from, TimePoint now)
+    void shareDemand(TimePoint now)
     {
-        const UseReport report = makeReport(instances[from], now);
-        for (std::size_t to = 0; to < instances.size(); ++to) {
-            if (to != from)
-                applyReport(instances[to], std::to_string(from), report, now);
+        std::map<std::string, std::int64_t> total;
+        for (const Shares &it : instances) {
+            for (const auto &[name, demand] : ownDemand(it, now))
+                total[name] += demand;
+        }
+        for (Shares &it : instances) {
+            const auto own = ownDemand(it, now);
+            for (const auto &[name, demand] : total) {
+                const auto mine = own.find(name);
+                setDemandOfOthers(
+                    it, name, static_cast<double>(demand - (mine == own.end() ? 0 : mine->second)));
+            }
         }
     }
 
-    /// Sends the reports that are due. \p t is the time since the start.
-    void sendDueReports(Duration t, TimePoint now)
+    struct Spent
     {
-        for (std::size_t from = 0; from < instances.size(); ++from) {
-            const bool isUrgent =
-                instances[from].hasUnreportedSpending && t % urgentInterval == Duration(0);
-            // Each instance reports as soon as it knows the others.
-            if (t == Duration(0) || isUrgent || (t + from * step) % regularInterval == Duration(0))
-                sendReport(from, now);
-        }
-    }
+        TimePoint arrivesAt;
+        const Shares *from = nullptr;
+        std::string customer;
+        std::int64_t tokens = 0;
+    };
 
     std::vector<Shares> instances;
-    Duration regularInterval = milliseconds(400);
-    Duration urgentInterval = milliseconds(50);
+    Duration demandInterval = milliseconds(400);
+    Duration delay = milliseconds(150);
+    std::deque<Spent> underWay;
 };
 
 struct LoadResult
@@ -88,7 +102,7 @@
     const TimePoint start = TimePoint(std::chrono::hours(1)) + startTime;
     for (Duration t{0}; t < length; t += step) {
         const TimePoint now = start + t;
-        deployment.sendDueReports(t, now);
+        deployment.shareKnowledge(t, now);
         pendingTokens += tokensPerSecond * 0.005;
         while (pendingTokens > 0) {
             const std::uint64_t tokens = random.below(8) == 0 ? 17000 : 400;
@@ -152,48 +166,45 @@
 TEST_CASE("the rate follows the demand to the instance that sees it")
 {
     Shares self;
-    updatePeers(self, {"a", "b", "c"});
+    setInstances(self, 4, 4);
     const TimePoint now{std::chrono::hours(1)};
-    applyReport(self, "a", {1, {}}, now);
-    applyReport(self, "b", {2, {}}, now);
-    applyReport(self, "c", {3, {{customer, {1000, 0}}}}, now);
+    setDemandOfOthers(self, customer, 1000);
     CHECK(shareOf(self, customer, now) < 0.2);
     for (int n = 0; n < 20; ++n)
         spend(self, customer, bucket, 1000, now);
     CHECK(shareOf(self, customer, now) > 0.5);
 }
 
-TEST_CASE("instances that report nothing count as average instances, departed ones not at all")
+TEST_CASE(
+    "instances of which nothing is known count as average instances, departed ones not at all")
 {
     Shares self;
-    updatePeers(self, {"a", "b", "c"});
+    setInstances(self, 4, 4);
     const TimePoint now{std::chrono::hours(1)};
     CHECK(shareOf(self, customer, now) == doctest::Approx(0.25));
-    updatePeers(self, {"a"});
-    CHECK(shareOf(self, customer, now) == doctest::Approx(0.5));
-    applyReport(self, "c", {3, {{customer, {1e9, 0}}}}, now);
+    setInstances(self, 2, 2);
     CHECK(shareOf(self, customer, now) == doctest::Approx(0.5));
+    // Of ten instances this one and one other are known, with equal demand.
+    setInstances(self, 10, 2);
+    spend(self, customer, bucket, 1000, now);
+    setDemandOfOthers(self, customer, static_cast<double>(ownDemand(self, now).at(customer)));
+    CHECK(shareOf(self, customer, now) == doctest::Approx(0.1));
+    // More may be connected than are in service.
+    setInstances(self, 2, 5);
+    CHECK(self.knownInstances == 2);
+    setInstances(self, 0, 0);
+    CHECK(self.instances == 1);
 }
 
-TEST_CASE("the sums over peers follow their reports, their silence and their departure")
+TEST_CASE("demand that ends elsewhere is forgotten")
 {
     Shares self;
-    updatePeers(self, {"a", "b"});
-    const TimePoint now{std::chrono::hours(1)};
-    spend(self, customer, bucket, 0, now);
-    applyReport(self, "a", {1, {{customer, {1000, 0}}}}, now);
-    applyReport(self, "b", {1, {{customer, {500, 0}}, {"other", {7, 0}}}}, now);
-    applyReport(self, "b", {1, {{customer, {300, 0}}}}, now + milliseconds(2500));
-    CHECK(self.countedPeers == 2);
-    CHECK(self.countedDemand[customer] == 1300);
-    CHECK(self.countedDemand["other"] == 0);
-    // Only b has reported recently.
-    spend(self, customer, bucket, 0, now + milliseconds(3500));
-    CHECK(self.countedPeers == 1);
-    CHECK(self.countedDemand[customer] == 300);
-    updatePeers(self, {"a"});
-    CHECK(self.countedPeers == 0);
-    CHECK(self.countedDemand[customer] == 0);
+    setInstances(self, 3, 3);
+    setDemandOfOthers(self, customer, 1300);
+    setDemandOfOthers(self, "other", 7);
+    CHECK(self.demandOfOthers.size() == 2);
+    setDemandOfOthers(self, "other", 0);
+    CHECK(self.demandOfOthers.size() == 1);
 }
 
 TEST_CASE("tokens of a request that did not run come back")
@@ -214,7 +225,6 @@
 {
     // Each account's share of the rate is a fifth of a large request.
     Deployment deployment(57);
-    deployment.regularInterval = milliseconds(1400);
     const LoadResult result = runLoad(deployment, bucket.rate / 1.8, std::chrono::seconds(60), 11);
     CHECK(static_cast<double>(result.refused) < 0.02 * static_cast<double>(result.requested));
 }
@@ -225,7 +235,6 @@
         for (const std::uint64_t seed : {12, 13, 14}) {
             const BucketLimits limits{rate, rate};
             Deployment deployment(57);
-            deployment.regularInterval = milliseconds(1400);
             for (Shares &it : deployment.instances)
                 it.config.debtTokens = 0.6 * allowedSlack;
             runLoad(deployment, rate / 1.8, std::chrono::seconds(10), seed, limits);
@@ -238,81 +247,70 @@
     }
 }
 
-TEST_CASE("a pool is not trusted while many instances are silent")
+TEST_CASE("a pool is not trusted while little is known of many instances")
 {
     const TimePoint startTime{std::chrono::hours(1)};
     const BucketLimits limits{1000, 1000};
-    for (const std::size_t reportingPeers : {3, 2}) {
+    for (const std::size_t known : {4, 3}) {
         Shares self;
-        const std::vector<std::string> others = {"a", "b", "c", "d"};
-        updatePeers(self, {others.begin(), others.end()});
+        setInstances(self, 5, known);
         REQUIRE(spend(self, customer, limits, 0, startTime).spending);
         const TimePoint now = startTime + std::chrono::seconds(2);
-        for (std::size_t n = 0; n < reportingPeers; ++n)
-            applyReport(self, others[n], {1, {}}, now);
         // The account is overdrawn, so that only the pool can be charged.
         spend(self, customer, limits, 0, now);
         self.accounts[customer].balance = -1000;
         const SpendResult answer = spend(self, customer, limits, 300, now);
-        CHECK(answer.spending.has_value() == (reportingPeers == 3));
-        CHECK(self.hasUnreportedSpending == (reportingPeers == 3));
+        CHECK(answer.spending.has_value() == (known == 4));
         CHECK((!answer.spending || answer.spending->isPooled));
     }
 }
 
-TEST_CASE("spending of peers is deducted from the pool, counted from zero after their restart")
+TEST_CASE("what others spend and give back changes the pool")
 {
     Shares self;
-    updatePeers(self, {"a"});
+    setInstances(self, 2, 2);
     const TimePoint now{std::chrono::hours(1)};
     const BucketLimits limits{1000, 1000};
     spend(self, customer, limits, 0, now);
-    applyReport(self, "a", {1, {{customer, {0, 5000}}}}, now);
     CHECK(self.pools[customer].balance == doctest::Approx(500));
-    applyReport(self, "a", {1, {{customer, {0, 5300}}}}, now);
+    applySpendingOfOthers(self, customer, 300, now);
     CHECK(self.pools[customer].balance == doctest::Approx(200));
-    applyReport(self, "a", {2, {{customer, {0, 200}}}}, now);
-    CHECK(self.pools[customer].balance == doctest::Approx(0));
+    applySpendingOfOthers(self, customer, -100, now);
+    CHECK(self.pools[customer].balance == doctest::Approx(300));
+    applySpendingOfOthers(self, "unknown", 100, now);
+    CHECK(self.pools.size() == 1);
+    spend(self, customer, limits, 0, now + milliseconds(500));
+    CHECK(self.pools[customer].balance == doctest::Approx(800));
 }
 
-TEST_CASE("unreported spending of peers is estimated, and corrected by their reports")
+TEST_CASE("spending that others have not reported yet is expected from their demand")
 {
-    Shares self;
-    updatePeers(self, {"a"});
-    const TimePoint now{std::chrono::hours(1)};
-    const BucketLimits limits{1000, 4000};
-    spend(self, customer, limits, 0, now);
-    applyReport(self, "a", {1, {{customer, {400, 0}}}}, now);
-    spend(self, customer, limits, 0, now + std::chrono::seconds(2));
-    CHECK(self.pools[customer].balance == doctest::Approx(3200));
-    applyReport(self, "a", {1, {{customer, {400, 100}}}}, now + std::chrono::seconds(2));
-    CHECK(self.pools[customer].balance == doctest::Approx(3900));
+    const TimePoint startTime{std::chrono::hours(1)};
+    const BucketLimits limits{1000, 1000};
+    // The account is overdrawn; the pool has 200 tokens above its reserve.
+    for (const double demand : {100.0, 900.0}) {
+        CAPTURE(demand);
+        Shares self;
+        setInstances(self, 2, 2);
+        spend(self, customer, limits, 0, startTime);
+        spend(self, customer, limits, 0, startTime + milliseconds(200));
+        self.accounts[customer].balance = -2000;
+        setDemandOfOthers(self, customer, demand);
+        const SpendResult answer =
+            spend(self, customer, limits, 100, startTime + milliseconds(200));
+        CHECK(answer.spending.has_value() == (demand < 500));
+    }
 }
 
-TEST_CASE("reports survive encoding and decoding, and malformed bytes are rejected")
+TEST_CASE("spending is reported once, and what was given back is deducted")
 {
-    const UseReport report{7, {{"a", {5, 10}}, {"b", {70000, -3}}}};
-    const auto decoded = orElse(
-        [&] {
-            return decodeReport(encodeReport(report), "peer");
-        },
-        [](const Error &) {
-            return UseReport();
-        });
-    CHECK(decoded.incarnation == report.incarnation);
-    REQUIRE(decoded.uses.size() == 2);
-    CHECK(decoded.uses.at("a").demand == 5);
-    CHECK(decoded.uses.at("a").spent == 10);
-    CHECK(decoded.uses.at("b").spent == -3);
-    for (const std::string &it : {std::string("x"), std::string("\x81\x01"), std::string()}) {
-        const bool isRefused = orElse(
-            [&]() -> Result<bool> {
-                BOOST_LEAF_CHECK(decodeReport(it, "peer"));
-                return false;
-            },
-            [](const Error &error) {
-                return error.code == ErrorCode::InvalidRequest;
-            });
-        CHECK(isRefused);
-    }
+    Shares self;
+    const TimePoint now{std::chrono::hours(1)};
+    CHECK(takeUnreportedSpending(self).empty());
+    const SpendResult first = spend(self, customer, bucket, 500, now);
+    spend(self, customer, bucket, 400, now);
+    CHECK(takeUnreportedSpending(self).at(customer) == 900);
+    CHECK(takeUnreportedSpending(self).empty());
+    giveBack(self, customer, bucket, *first.spending, now);
+    CHECK(takeUnreportedSpending(self).at(customer) == -500);
 }
--- a/unittests/settings/platformtest.cpp
+++ b/unittests/settings/platformtest.cpp
@@ -229,6 +229,16 @@
              return it.limitSlackTokens;
          },
          4.4e12},
+        {"  processorShare: 0.09",
+         [](const auto &it) {
+             return it.processorShare;
+         },
+         0.09},
+        {"  processorShare: 64",
+         [](const auto &it) {
+             return it.processorShare;
+         },
+         64},
         {"  memoryMb: 31.25",
          [](const auto &it) {
              return it.memoryMb;
@@ -261,9 +271,9 @@
 TEST_CASE("a field that the platform has no value for has its default")
 {
     for (const char *line :
-         {"    callsPerSecond:", "  lossesTolerated:", "  limitSlackTokens: ", "  memoryMb:",
-          "  maxDescriptors:", "  checksFencing:", "  firstStart:", "  retries: {slack: , ratio: }",
-          "  drainTime:", "  retries:"}) {
+         {"    callsPerSecond:", "  processorShare:", "  lossesTolerated:", "  limitSlackTokens: ",
+          "  memoryMb:", "  maxDescriptors:", "  checksFencing:", "  firstStart:",
+          "  retries: {slack: , ratio: }", "  drainTime:", "  retries:"}) {
         CAPTURE(line);
         Settings settings;
         CHECK(messageOf(line, settings) == "");
