--- a/test/system/platform_standin.py
+++ b/test/system/platform_standin.py
@@ -122,6 +122,8 @@
     def __init__(self, servers):
         self.servers = servers
         self.calls = 0
+        # Entries of another writer, as bytes, on the first page.
+        self.odd = []
         owner = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -135,7 +137,8 @@
                 at = int(self.path.split("PageToken=p-")[1]) if "PageToken" in self.path else 0
                 entries = [it.entry() for it in owner.servers[at:at + 2]] + ([{"Id": 5}] if at == 0 else [])
                 following = f"p-{at + 2}" if at + 2 < len(owner.servers) else None
-                body = json.dumps({"Instances": entries, "Next": following}).encode()
+                texts = [json.dumps(entry).encode() for entry in entries] + (owner.odd if at == 0 else [])
+                body = b'{"Instances":[%s],"Next":%s}' % (b",".join(texts), json.dumps(following).encode())
                 self.send_response(200)
                 self.send_header("Content-Length", str(len(body)))
                 self.end_headers()
