Control: an order is checked again directly before it is sent; calls end in bounded time

Cause: a member that was paused between its check and its connection sent an order on a proof of leadership that had run out. A peer that sends a byte now and then held a call, and with it the reading of the list, without an end. Change: fetch() asks whether the call may still be sent once the connection stands; a call has a limit on its whole time. The leader reads the list every 2.5 s while no server is to be brought to new weights, not every second.

--- a/include/kumquathaven/runtime/httpclient.h
+++ b/include/kumquathaven/runtime/httpclient.h
@@ -8,6 +8,8 @@
 #include "kumquathaven/runtime/http.h"
 #include "kumquathaven/settings/settings.h"
 
+#include <cstddef>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -32,6 +34,9 @@
     Duration silence = std::chrono::seconds(60);
     /// Longest wait for room while sending. The longest silence if it is not set.
     std::optional<Duration> send{};
+    /// Longest time from the connection to the end of the answer, however its bytes arrive. No
+    /// limit if it is not set.
+    std::optional<Duration> total{};
 };
 
 /// A call on a connection of its own, so that answers can not be crossed. Closing it cancels the
@@ -69,10 +74,13 @@
     std::unique_ptr<Impl> m_impl;
 };
 
-/// Makes a whole call and returns the answer, at most \p maxBytes of body.
+/// Makes a whole call and returns the answer, at most \p maxBytes of body. \p maySend is asked once
+/// the connection stands, directly before the first byte is sent; if it returns false, the call
+/// fails with Cancelled and outcome NotRun.
 Result<HttpReply> fetch(const settings::Address &address, const std::string &method,
                         const std::string &path, const HeaderFields &headers,
-                        const std::string &body, CallTimeouts timeouts, std::size_t maxBytes);
+                        const std::string &body, CallTimeouts timeouts, std::size_t maxBytes,
+                        const std::function<bool()> &maySend = {});
 
 } // namespace kumquathaven::runtime
 
--- a/lib/control/upstreamobserver.cpp
+++ b/lib/control/upstreamobserver.cpp
@@ -47,7 +47,7 @@
 
 std::optional<routing::Observed> fetchHealth(const settings::Address &address)
 {
-    const runtime::CallTimeouts timeouts{connectTimeout, silenceTimeout};
+    const runtime::CallTimeouts timeouts{connectTimeout, silenceTimeout, {}, 2 * silenceTimeout};
     return orElse(
         [&]() -> Result<std::optional<routing::Observed>> {
             BOOST_LEAF_AUTO(
--- a/lib/control/weightsduty.cpp
+++ b/lib/control/weightsduty.cpp
@@ -4,6 +4,8 @@
 #include "kumquathaven/runtime/httpclient.h"
 #include "kumquathaven/telemetry/log.h"
 
+#include <functional>
+
 namespace kumquathaven::control {
 
 namespace {
@@ -11,7 +13,10 @@
 constexpr std::size_t ringCapacity = 4096;
 constexpr Duration stepInterval = std::chrono::milliseconds(50);
 constexpr Duration idleInterval = std::chrono::milliseconds(250);
+/// Time between two reads of the list, while servers are to be brought to new weights and while
+/// none is known.
 constexpr Duration listInterval = std::chrono::seconds(1);
+constexpr Duration idleListInterval = std::chrono::milliseconds(2500);
 constexpr Duration callerPoll = std::chrono::seconds(1);
 /// Maximum age of the proof of leadership with which orders may be sent.
 constexpr Duration maxProofAge = std::chrono::milliseconds(500);
@@ -23,6 +28,7 @@
     runtime::CallTimeouts timeouts;
     timeouts.connect = std::chrono::milliseconds(300);
     timeouts.silence = std::chrono::milliseconds(700);
+    timeouts.total = std::chrono::seconds(2);
     return timeouts;
 }
 
@@ -85,7 +91,7 @@
 {
     if (now < m_nextList)
         return;
-    m_nextList = now + listInterval;
+    m_nextList = now + (m_rollout.servers.empty() ? idleListInterval : listInterval);
     orElse(
         [&]() -> Result<void> {
             std::vector<deployment::ListedServer> servers;
@@ -158,9 +164,14 @@
             request.method = "GET";
             request.path = m_dialect.servers.reportPath;
             request.headers = {{m_dialect.servers.targetField, it.server.id}};
+            std::function<bool()> maySend;
             if (it.kind == deployment::RolloutCall::Kind::Order) {
-                // This member may have stopped leading while the call waited in the queue.
-                if (!mayOrder(monotonicNow()) || m_log.status().raftState.term != call.term)
+                // This member may have stopped leading, or may have been paused, while the call
+                // waited in the queue and for its connection.
+                maySend = [this, &call] {
+                    return mayOrder(monotonicNow()) && m_log.status().raftState.term == call.term;
+                };
+                if (!maySend())
                     return answer;
                 request = m_dialect.servers.order(
                     {it.model, it.version, m_settings.instance, call.term, it.expectedOrders},
@@ -169,7 +180,7 @@
             BOOST_LEAF_AUTO(reply,
                             runtime::fetch(it.server.address, request.method, request.path,
                                            request.headers, request.body, callTimeouts(),
-                                           maxAnswerBytes));
+                                           maxAnswerBytes, maySend));
             if (it.kind == deployment::RolloutCall::Kind::Order) {
                 answer.order = m_dialect.servers.readOrderAnswer(reply.status);
                 telemetry::logLine(telemetry::LogLevel::Info, "weights", "order answered",
--- a/lib/entry/kvcalls.cpp
+++ b/lib/entry/kvcalls.cpp
@@ -125,7 +125,7 @@
 std::optional<bool> hasBlock(const catalogue::Upstream &store, routing::BlockHash block)
 {
     const std::string path = "/blocks/" + toHex(static_cast<std::uint64_t>(block));
-    const runtime::CallTimeouts timeouts{connectTimeout, storeTimeout};
+    const runtime::CallTimeouts timeouts{connectTimeout, storeTimeout, {}, 2 * storeTimeout};
     const int status = orElse(
         [&]() -> Result<int> {
             BOOST_LEAF_AUTO(reply,
--- a/lib/runtime/httpclient.cpp
+++ b/lib/runtime/httpclient.cpp
@@ -4,10 +4,13 @@
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Net/StreamSocketImpl.h>
 #include <Poco/Timespan.h>
 
 #include <algorithm>
 #include <istream>
+#include <optional>
 #include <ostream>
 
 namespace kumquathaven::runtime {
@@ -21,11 +24,38 @@
     return {static_cast<Poco::Timespan::TimeDiff>(d.count())};
 }
 
+// A socket on which the time of all reads together is limited. The library limits the time of each
+// read only, so that a peer that sends a byte now and then could hold a call forever.
+class LimitedSocket : public Poco::Net::StreamSocketImpl
+{
+public:
+    void setReadLimit(TimePoint until) { m_until = until; }
+
+    int receiveBytes(void *buffer, int length, int flags) override
+    {
+        if (m_until) {
+            const Duration left = *m_until - monotonicNow();
+            const Poco::Timespan wait = std::min(timespan(left), getReceiveTimeout());
+            if (left <= Duration(0) || !poll(wait, Poco::Net::Socket::SELECT_READ))
+                throw Poco::TimeoutException("the answer takes too long");
+        }
+        return StreamSocketImpl::receiveBytes(buffer, length, flags);
+    }
+
+private:
+    std::optional<TimePoint> m_until;
+};
+
 // A session that can tell whether a read would wait.
 class PollableSession : public Poco::Net::HTTPClientSession
 {
 public:
-    using HTTPClientSession::HTTPClientSession;
+    PollableSession(LimitedSocket *socket, const Poco::Net::SocketAddress &peer)
+        : HTTPClientSession(Poco::Net::StreamSocket(socket))
+    {
+        setHost(peer.host().toString());
+        setPort(peer.port());
+    }
 
     bool isReadable(Duration timeout)
     {
@@ -104,7 +134,9 @@
 {
     try {
         const Poco::Net::SocketAddress peer(m_impl->address.host, m_impl->address.port);
-        m_impl->session = std::make_unique<PollableSession>(peer);
+        // The session owns the socket.
+        auto *socket = new LimitedSocket;
+        m_impl->session = std::make_unique<PollableSession>(socket, peer);
         const auto silence = timespan(m_impl->timeouts.silence);
         const auto sending = timespan(m_impl->timeouts.send.value_or(m_impl->timeouts.silence));
         m_impl->session->setTimeout(timespan(m_impl->timeouts.connect), sending, silence);
@@ -112,6 +144,8 @@
         m_impl->session->setKeepAlive(true);
         m_impl->session->open(peer);
         m_impl->session->socket().setNoDelay(true);
+        if (m_impl->timeouts.total)
+            socket->setReadLimit(monotonicNow() + *m_impl->timeouts.total);
     } catch (const Poco::Exception &e) {
         m_impl->session.reset();
         return fail(m_impl->error(ErrorCode::NoUpstream, "upstream.connect", e.displayText(),
@@ -200,10 +234,18 @@
 
 Result<HttpReply> fetch(const settings::Address &address, const std::string &method,
                         const std::string &path, const HeaderFields &headers,
-                        const std::string &body, CallTimeouts timeouts, std::size_t maxBytes)
+                        const std::string &body, CallTimeouts timeouts, std::size_t maxBytes,
+                        const std::function<bool()> &maySend)
 {
     HttpCall call(address, timeouts);
     BOOST_LEAF_CHECK(call.connect());
+    if (maySend && !maySend())
+        return fail({ErrorCode::Cancelled,
+                     "http.fetch",
+                     settings::toString(address),
+                     "the call may not be sent any more",
+                     Outcome::NotRun,
+                     {}});
     BOOST_LEAF_CHECK(call.send(method, path, headers, body));
     BOOST_LEAF_AUTO(isReady, call.waitForHead(timeouts.silence));
     const auto peer = settings::toString(address);
--- a/unittests/runtime/httptest.cpp
+++ b/unittests/runtime/httptest.cpp
@@ -6,6 +6,7 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
+#include <functional>
 #include <string>
 #include <thread>
 
@@ -162,3 +163,82 @@
         });
     CHECK(text == "upstream.connect notRun " + settings::toString(address));
 }
+
+namespace {
+
+/// A peer that accepts one connection and runs a function on it.
+class Peer
+{
+public:
+    explicit Peer(const std::function<void(Poco::Net::StreamSocket &)> &run)
+        : m_socket(Poco::Net::SocketAddress("127.0.0.1", 0))
+        , m_thread([this, run] {
+            Poco::Net::StreamSocket connection = m_socket.acceptConnection();
+            connection.setReceiveTimeout(Poco::Timespan(5, 0));
+            try {
+                run(connection);
+            } catch (const Poco::Exception &) {
+                // The caller has closed the connection.
+            }
+        })
+    { }
+    ~Peer() { m_thread.join(); }
+
+    settings::Address address() const { return {"127.0.0.1", m_socket.address().port()}; }
+
+private:
+    Poco::Net::ServerSocket m_socket;
+    std::thread m_thread;
+};
+
+std::string failureOf(const settings::Address &address, const CallTimeouts &timeouts,
+                      const std::function<bool()> &maySend = {})
+{
+    return orElse(
+        [&]() -> Result<std::string> {
+            BOOST_LEAF_CHECK(fetch(address, "POST", "/", {}, "x", timeouts, 1'000'000, maySend));
+            return std::string();
+        },
+        [](const Error &e) {
+            return std::string(errorCodeName(e.code)) + " " + std::string(outcomeName(e.outcome));
+        });
+}
+
+} // namespace
+
+TEST_CASE("an answer whose bytes come one by one is given up when the whole call takes too long")
+{
+    for (const std::string head : {"HTTP/1.1 200 OK\r\nA: ", "HTTP/1.1 200 OK\r\n\r\n", ""}) {
+        CAPTURE(head);
+        const Peer peer([&](Poco::Net::StreamSocket &it) {
+            it.sendBytes(head.data(), static_cast<int>(head.size()));
+            for (int n = 0; n < 100; ++n) {
+                it.sendBytes("x", 1);
+                std::this_thread::sleep_for(std::chrono::milliseconds(50));
+            }
+        });
+        CallTimeouts timeouts;
+        timeouts.silence = std::chrono::seconds(2);
+        timeouts.total = std::chrono::milliseconds(400);
+        const TimePoint begun = monotonicNow();
+        CHECK(!failureOf(peer.address(), timeouts).empty());
+        CHECK(monotonicNow() - begun < std::chrono::seconds(2));
+    }
+}
+
+TEST_CASE("a call that may not be sent any more once its connection stands sends no byte")
+{
+    std::atomic<int> received{-1};
+    {
+        const Peer peer([&](Poco::Net::StreamSocket &it) {
+            char buf[100];
+            received = it.receiveBytes(buf, sizeof(buf));
+        });
+        CHECK(failureOf(peer.address(), {},
+                        [] {
+                            return false;
+                        })
+              == "cancelled notRun");
+    }
+    CHECK(received == 0);
+}
