Gateway: instances count answers and errors of servers together

Change: errors count against a server; entries count answers and errors together along the tree, and leave out, for seconds, at most a third of a service's servers of which a tenth of the requests fails.

--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -104,6 +104,8 @@
     std::shared_ptr<UpstreamCall> m_call;
     TimePoint m_sentAt{};
     bool m_hasFirstToken = false;
+    /// Whether the server answered with an error of its own.
+    bool m_isServerError = false;
     /// When the last bytes of the answer to this attempt arrived, and the pause before them.
     TimePoint m_lastBytesAt{};
     std::optional<Duration> m_lastPause;
--- a/lib/gateway/exchangeanswer.cpp
+++ b/lib/gateway/exchangeanswer.cpp
@@ -29,13 +29,14 @@
     }
     m_outcome = Outcome::Ran;
     const TimePoint now = monotonicNow();
-    if (!std::exchange(m_hasFirstToken, true)) {
+    const bool isFailure = head.status >= statusServerError;
+    m_isServerError = isFailure;
+    if (!std::exchange(m_hasFirstToken, true) && !isFailure) {
         recordFirstToken(m_gateway.servers, *m_pick, now);
         m_gateway.counters.timesOf(m_route->kind).firstByte.observe(toSeconds(now - m_arrivedAt));
     }
     if (answer.weights)
         recordWeights(m_gateway.servers, *m_pick, m_callerHead.model, *answer.weights);
-    const bool isFailure = head.status >= statusServerError;
     if (isFailure)
         log(telemetry::LogLevel::Warn, "the server returned an error",
             {{"server", m_pick->serverId}, {"status", std::to_string(head.status)}});
@@ -47,7 +48,7 @@
     }
     // Another server may succeed where this one returned a server error, if the request may be
     // retried.
-    if (isFailure && mayRetry() && retry(AttemptEnd::Answered, Outcome::Ran))
+    if (isFailure && mayRetry() && retry(AttemptEnd::ServerError, Outcome::Ran))
         return;
     m_answerHead = head;
 }
@@ -182,7 +183,7 @@
     }
     const std::string remainder = m_eventFramer.takePartial() + std::exchange(m_bufferedBody, {});
     forwardHead();
-    endAttempt(AttemptEnd::Answered);
+    endAttempt(m_isServerError ? AttemptEnd::ServerError : AttemptEnd::Answered);
     const auto caller = m_caller.lock();
     m_gateway.counters.answered.add();
     close(telemetry::LogLevel::Info, "answered",
--- a/lib/gateway/exchangesend.cpp
+++ b/lib/gateway/exchangesend.cpp
@@ -83,6 +83,7 @@
     m_triedServers.insert(m_pick->start);
     m_sentAt = now;
     m_hasFirstToken = false;
+    m_isServerError = false;
     logAttempt();
     m_call = std::make_shared<UpstreamCall>(m_gateway.loop, m_gateway.pool,
                                             m_gateway.dialect.requests.readAnswer);
--- a/lib/gateway/peermessages.cpp
+++ b/lib/gateway/peermessages.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+/// Time between two reports of how requests ended at servers.
+constexpr Duration outcomesInterval = std::chrono::milliseconds(250);
 constexpr const char *joinKind = "join";
 constexpr const char *updateKind = "update";
 constexpr const char *listRequestKind = "listQuestion";
@@ -80,6 +82,13 @@
         logObservation(it);
     for (const overlay::Event &it : encodeEvents(update))
         m_member.addEvent(it, now);
+    if (now - m_outcomesReportedAt >= outcomesInterval) {
+        m_outcomesReportedAt = now;
+        for (const auto &[start, counts] : takeOutcomes(servers)) {
+            m_member.addIncrement(answersKey(start), counts.answers);
+            m_member.addIncrement(errorsKey(start), counts.errors);
+        }
+    }
     const LimitsReport report = m_gateway.limits.takeReport(now);
     for (const auto &[customer, demand] : report.demand)
         m_member.setLevel(demandKey(customer), demand, now);
@@ -104,8 +113,10 @@
     }
     for (const overlay::Event &it : effects.events)
         applyEvent(it, now);
-    for (const overlay::Increment &it : effects.increments)
-        m_gateway.limits.applySpendingOfOthers(it.key, it.amount, now);
+    for (const overlay::Increment &it : effects.increments) {
+        if (!applyOutcomesOfOthers(m_gateway.servers, it.key, it.amount, now))
+            m_gateway.limits.applySpendingOfOthers(it.key, it.amount, now);
+    }
     applyLevels(now);
 }
 
--- a/lib/gateway/peermessages.h
+++ b/lib/gateway/peermessages.h
@@ -63,6 +63,7 @@
     std::map<std::string, std::string> m_addresses;
     /// Links that this entry opened, by the name of the other entry.
     std::map<std::string, wire::LinkId> m_uplinks;
+    TimePoint m_outcomesReportedAt{};
     ListSharing m_sharing;
     ServerListReader m_listReader;
     telemetry::Histogram &m_eventAges;
--- a/lib/gateway/pick.cpp
+++ b/lib/gateway/pick.cpp
@@ -162,6 +162,29 @@
         && routing::takesWork(view.health, deployment::isRepeatable(*request.route));
 }
 
+/// Removes failing servers, up to the share that may be left out.
+void removeFailing(std::vector<Candidate> &candidates, TimePoint now)
+{
+    std::vector<const KnownServer *> failing;
+    for (const Candidate &it : candidates) {
+        if (isFailing(it.server->outcomes, now))
+            failing.push_back(it.server);
+    }
+    const std::size_t most = maxFailing(candidates.size());
+    if (failing.size() > most) {
+        // Those that failed longest ago are the ones to try again.
+        std::sort(failing.begin(), failing.end(), [](const auto *a, const auto *b) {
+            return a->outcomes.failingUntil > b->outcomes.failingUntil;
+        });
+        failing.resize(most);
+    }
+    const auto isRemoved = [&](const Candidate &it) {
+        return std::find(failing.begin(), failing.end(), it.server) != failing.end();
+    };
+    candidates.erase(std::remove_if(candidates.begin(), candidates.end(), isRemoved),
+                     candidates.end());
+}
+
 /// Returns the servers that may get the request. Servers that recently refused a request are
 /// returned only if there are no others.
 std::vector<Candidate> candidatesOf(const Servers &servers, const PickRequest &request,
@@ -175,7 +198,9 @@
             continue;
         (server.refusesUntil > now ? refusing : candidates).push_back({&start, &server});
     }
-    return candidates.empty() ? refusing : candidates;
+    std::vector<Candidate> &usable = candidates.empty() ? refusing : candidates;
+    removeFailing(usable, now);
+    return usable;
 }
 
 /// Returns the services of a route, starting with the one that the weights select for this request.
--- a/lib/gateway/servers.cpp
+++ b/lib/gateway/servers.cpp
@@ -171,6 +171,21 @@
     }
 }
 
+/// Counts how a request ended at a server.
+void recordOutcome(Servers &servers, const std::string &start, KnownServer &server, AttemptEnd end,
+                   TimePoint now)
+{
+    const bool isError =
+        end == AttemptEnd::ServerError || end == AttemptEnd::Cut || end == AttemptEnd::Silent;
+    if (!isError && end != AttemptEnd::Answered)
+        return;
+    const OutcomeCounts counts{isError ? 0 : 1, isError ? 1 : 0};
+    addOutcomes(server.outcomes, counts, now);
+    server.unreportedOutcomes.answers += counts.answers;
+    server.unreportedOutcomes.errors += counts.errors;
+    servers.changedOutcomes.insert(start);
+}
+
 /// Applies a change of a prompt in the store and queues it for the other instances.
 void recordStoreUpdate(Servers &servers, const StoreUpdate &update, TimePoint now)
 {
@@ -227,7 +242,8 @@
         server.listed = it;
         if (isNew) {
             server.slot = routing::addUpstream(servers.fleet, start, it.service, "0", now);
-            servers.startsByKey[backlogKey(start)] = start;
+            for (const std::uint64_t key : {backlogKey(start), answersKey(start), errorsKey(start)})
+                servers.startsByKey[key] = start;
         }
         refresh(servers, start, server);
     }
@@ -240,7 +256,9 @@
         const auto first = servers.observedVersions.lower_bound(it->first + "/");
         const auto last = servers.observedVersions.lower_bound(it->first + "0");
         servers.observedVersions.erase(first, last);
-        servers.startsByKey.erase(backlogKey(it->first));
+        for (const std::uint64_t key :
+             {backlogKey(it->first), answersKey(it->first), errorsKey(it->first)})
+            servers.startsByKey.erase(key);
         servers.changedBacklogs.insert(it->first);
         it = servers.known.erase(it);
     }
@@ -304,6 +322,40 @@
     return stableHash(start, seed);
 }
 
+std::uint64_t answersKey(const std::string &start)
+{
+    constexpr std::uint64_t seed = 0x616e'7377'6572'73;
+    return stableHash(start, seed);
+}
+
+std::uint64_t errorsKey(const std::string &start)
+{
+    constexpr std::uint64_t seed = 0x6572'726f'7273;
+    return stableHash(start, seed);
+}
+
+std::map<std::string, OutcomeCounts> takeOutcomes(Servers &servers)
+{
+    std::map<std::string, OutcomeCounts> counts;
+    for (const std::string &start : std::exchange(servers.changedOutcomes, {})) {
+        const auto it = servers.known.find(start);
+        if (it != servers.known.end())
+            counts[start] = std::exchange(it->second.unreportedOutcomes, {});
+    }
+    return counts;
+}
+
+bool applyOutcomesOfOthers(Servers &servers, std::uint64_t key, std::int64_t amount, TimePoint now)
+{
+    const auto start = servers.startsByKey.find(key);
+    if (start == servers.startsByKey.end())
+        return false;
+    const bool isErrors = key == errorsKey(start->second);
+    addOutcomes(servers.known.at(start->second).outcomes,
+                {isErrors ? 0 : amount, isErrors ? amount : 0}, now);
+    return true;
+}
+
 std::map<std::string, std::uint64_t> takeChangedBacklogs(Servers &servers)
 {
     std::map<std::string, std::uint64_t> backlogs;
@@ -372,6 +424,7 @@
         return;
     it->second.running -= std::min(1U, it->second.running);
     servers.changedBacklogs.insert(pick.start);
+    recordOutcome(servers, it->first, it->second, end, now);
     const bool wasNotRead = end == AttemptEnd::Refused || end == AttemptEnd::Misdirected
         || end == AttemptEnd::NotConnected;
     for (const routing::BlockHash block : pick.blocks) {
@@ -395,6 +448,7 @@
         if (recordUnreachable(servers, it->second, {}, now))
             queueObservation(servers, {pick.start, ObservationKind::Unreachable, {}, 0});
         break;
+    case AttemptEnd::ServerError:
     case AttemptEnd::Cut:
         routing::recordFailed(servers.fleet, pick.slot, pick.ticket, routing::Failure::Cut, now);
         break;
--- a/lib/gateway/servers.h
+++ b/lib/gateway/servers.h
@@ -14,6 +14,7 @@
 #include "kumquathaven/deployment/request.h"
 #include "kumquathaven/deployment/server.h"
 #include "kumquathaven/routing/choice.h"
+#include "outcomes.h"
 
 #include <array>
 #include <cstdint>
@@ -38,6 +39,9 @@
     std::uint32_t running = 0;
     /// Prompt tokens that all other instances together sent there and that have no first token yet.
     std::uint64_t backlogOfOthers = 0;
+    /// What all instances saw of the server, and what this one did not report yet.
+    RecentOutcomes outcomes;
+    OutcomeCounts unreportedOutcomes;
     /// When the server last returned a first token or started to work after being idle.
     TimePoint lastProgressAt{};
     /// Until this time the server gets requests only if no other server accepts them, because it
@@ -157,7 +161,9 @@
     std::set<std::string> changedPauses;
     /// Starts whose backlog of this instance changed since it was last reported.
     std::set<std::string> changedBacklogs;
-    /// Starts by the key of their backlogs.
+    /// Starts with unreported outcomes.
+    std::set<std::string> changedOutcomes;
+    /// Starts by the keys of their backlogs, answers and errors.
     std::unordered_map<std::uint64_t, std::string> startsByKey;
 };
 
@@ -255,10 +261,23 @@
 bool setBacklogOfOthers(Servers &servers, std::uint64_t key, std::int64_t tokens,
                         TimePoint decreasedAt, TimePoint now);
 
+/// Returns the keys under which instances count the answers and the errors of a server.
+std::uint64_t answersKey(const std::string &start);
+std::uint64_t errorsKey(const std::string &start);
+
+/// Returns the outcomes at this instance, by start, since the last call.
+std::map<std::string, OutcomeCounts> takeOutcomes(Servers &servers);
+
+/// Adds outcomes that other instances counted under a key. Returns false if the key is not that of
+/// a known server.
+bool applyOutcomesOfOthers(Servers &servers, std::uint64_t key, std::int64_t amount, TimePoint now);
+
 /// How an attempt ended.
 enum class AttemptEnd {
     /// The answer was complete, or the server returned an answer of its own.
     Answered,
+    /// The server returned an error of its own.
+    ServerError,
     /// The server reported that it does not run the request.
     Refused,
     /// The address belongs to another server, or the server has other weights.
@@ -273,8 +292,9 @@
     Abandoned,
 };
 
-constexpr std::array<EnumName<AttemptEnd>, 7> attemptEndNames = {{
+constexpr std::array<EnumName<AttemptEnd>, 8> attemptEndNames = {{
     {AttemptEnd::Answered, "answered"},
+    {AttemptEnd::ServerError, "serverError"},
     {AttemptEnd::Refused, "notRun"},
     {AttemptEnd::Misdirected, "anotherServerOrWeights"},
     {AttemptEnd::NotConnected, "noConnection"},
--- a/lib/overlay/aggregate.cpp
+++ b/lib/overlay/aggregate.cpp
@@ -231,6 +231,8 @@
 
 void addOwnIncrement(Aggregate &aggregate, Key key, std::int64_t amount)
 {
+    if (amount == 0)
+        return;
     if (aggregate.isBetweenParents)
         aggregate.undeliveredIncrements[key] += amount;
     for (auto &[number, link] : aggregate.links) {
