Consensus test: names that the C library has on arm64 are not reused

Cause: on arm64 the test framework includes a header that declares read() and write(), so that two constants of the test were ambiguous and consensus_tests did not compile. Change: the constants have other names.

--- a/unittests/consensus/linearizabilitytest.cpp
+++ b/unittests/consensus/linearizabilitytest.cpp
@@ -12,8 +12,10 @@
 
 namespace {
 
-constexpr auto read = OperationKind::Read;
-constexpr auto write = OperationKind::Write;
+// The plain names are those of functions of the C library, which the test framework includes on
+// some architectures.
+constexpr auto reading = OperationKind::Read;
+constexpr auto writing = OperationKind::Write;
 constexpr auto conditional = OperationKind::ConditionalWrite;
 constexpr std::optional<std::uint64_t> unknown;
 
@@ -26,21 +28,21 @@
 
 const std::vector<Row> rows{
     {"empty", {}, true},
-    {"read of the initial value", {{read, 0, 0, 1, 2}}, true},
-    {"read of a value nobody wrote", {{read, 0, 7, 1, 2}}, false},
-    {"read after a write", {{write, 0, 1, 1, 2}, {read, 0, 1, 3, 4}}, true},
-    {"stale read after a write", {{write, 0, 1, 1, 2}, {read, 0, 0, 3, 4}}, false},
-    {"read during a write, old value", {{write, 0, 1, 1, 4}, {read, 0, 0, 2, 3}}, true},
-    {"read during a write, new value", {{write, 0, 1, 1, 4}, {read, 0, 1, 2, 3}}, true},
+    {"read of the initial value", {{reading, 0, 0, 1, 2}}, true},
+    {"read of a value nobody wrote", {{reading, 0, 7, 1, 2}}, false},
+    {"read after a write", {{writing, 0, 1, 1, 2}, {reading, 0, 1, 3, 4}}, true},
+    {"stale read after a write", {{writing, 0, 1, 1, 2}, {reading, 0, 0, 3, 4}}, false},
+    {"read during a write, old value", {{writing, 0, 1, 1, 4}, {reading, 0, 0, 2, 3}}, true},
+    {"read during a write, new value", {{writing, 0, 1, 1, 4}, {reading, 0, 1, 2, 3}}, true},
     {"reads that go back during a write",
-     {{write, 0, 1, 1, 8}, {read, 0, 1, 2, 3}, {read, 0, 0, 4, 5}},
+     {{writing, 0, 1, 1, 8}, {reading, 0, 1, 2, 3}, {reading, 0, 0, 4, 5}},
      false},
-    {"lost write", {{write, 0, 1, 1, 2}, {write, 0, 2, 3, 4}, {read, 0, 1, 5, 6}}, false},
+    {"lost write", {{writing, 0, 1, 1, 2}, {writing, 0, 2, 3, 4}, {reading, 0, 1, 5, 6}}, false},
     {"concurrent writes in either order",
-     {{write, 0, 1, 1, 4}, {write, 0, 2, 2, 3}, {read, 0, 1, 5, 6}},
+     {{writing, 0, 1, 1, 4}, {writing, 0, 2, 2, 3}, {reading, 0, 1, 5, 6}},
      true},
     {"two readers that see concurrent writes in different orders",
-     {{write, 0, 1, 1, 4}, {write, 0, 2, 2, 3}, {read, 0, 1, 5, 6}, {read, 0, 2, 7, 8}},
+     {{writing, 0, 1, 1, 4}, {writing, 0, 2, 2, 3}, {reading, 0, 1, 5, 6}, {reading, 0, 2, 7, 8}},
      false},
     {"both of two racing conditional writes succeed",
      {{conditional, 0, 1, 1, 4, true}, {conditional, 0, 2, 2, 3, true}},
@@ -52,19 +54,19 @@
      {{conditional, 0, 1, 1, 4, false}, {conditional, 0, 2, 2, 3, false}},
      false},
     {"unknown write that took place late",
-     {{write, 0, 1, 1, unknown}, {read, 0, 0, 2, 3}, {read, 0, 1, 4, 5}},
+     {{writing, 0, 1, 1, unknown}, {reading, 0, 0, 2, 3}, {reading, 0, 1, 4, 5}},
      true},
     {"unknown write that took place and was undone",
-     {{write, 0, 1, 1, unknown}, {read, 0, 1, 2, 3}, {read, 0, 0, 4, 5}},
+     {{writing, 0, 1, 1, unknown}, {reading, 0, 1, 2, 3}, {reading, 0, 0, 4, 5}},
      false},
     {"unknown write that is read before its call",
-     {{read, 0, 1, 1, 2}, {write, 0, 1, 3, unknown}},
+     {{reading, 0, 1, 1, 2}, {writing, 0, 1, 3, unknown}},
      false},
     {"unknown conditional write that did not fit",
-     {{conditional, 5, 1, 1, unknown}, {read, 0, 1, 2, 3}},
+     {{conditional, 5, 1, 1, unknown}, {reading, 0, 1, 2, 3}},
      false},
     {"unknown conditional write that fits after another write",
-     {{conditional, 5, 1, 1, unknown}, {write, 0, 5, 2, 3}, {read, 0, 1, 4, 5}},
+     {{conditional, 5, 1, 1, unknown}, {writing, 0, 5, 2, 3}, {reading, 0, 1, 4, 5}},
      true},
 };
 
@@ -79,12 +81,12 @@
         it.kind = static_cast<OperationKind>(random.below(3));
         it.calledAt = at - random.below(180) % at;
         it.returnedAt = at + random.below(180);
-        if (it.kind == read) {
+        if (it.kind == reading) {
             it.value = value;
         } else {
             it.value = static_cast<std::int64_t>(n + 1);
             it.expected = random.below(2) == 0 ? value : -1;
-            it.succeeded = it.kind == write || it.expected == value;
+            it.succeeded = it.kind == writing || it.expected == value;
             value = it.succeeded ? it.value : value;
             if (random.below(5) == 0)
                 it.returnedAt.reset();
@@ -113,9 +115,9 @@
         REQUIRE(isLinearizable(history, 0));
         // Appends a read that returns a value overwritten before the read was called.
         std::vector<Operation> stale = history;
-        stale.push_back({write, 0, 1000, 5000, 5001});
-        stale.push_back({write, 0, 1001, 5002, 5003});
-        stale.push_back({read, 0, 1000, 5004, 5005});
+        stale.push_back({writing, 0, 1000, 5000, 5001});
+        stale.push_back({writing, 0, 1001, 5002, 5003});
+        stale.push_back({reading, 0, 1000, 5004, 5005});
         REQUIRE_FALSE(isLinearizable(stale, 0));
     }
 }
