Idle duties wake up less often; messages of the tree each 30 ms

An idle entry woke up 155 times a second, 40 of them in the loop's timer, 20 each in supervisor, links and feed. Change: the supervisor looks for a duty that gave up each 250 ms, links and feed tick each 100 ms, the loop each 30 ms, and a link of the tree carries a message at most each 30 ms.

--- a/include/kumquathaven/overlay/aggregate.h
+++ b/include/kumquathaven/overlay/aggregate.h
@@ -70,7 +70,7 @@
 struct AggregateConfig
 {
     /// Minimum time between two messages over a link. What accrues meanwhile is sent in one.
-    Duration minInterval = std::chrono::milliseconds(25);
+    Duration minInterval = std::chrono::milliseconds(30);
     /// A link over which nothing was sent for this long gets a message without content.
     Duration keepAliveInterval = std::chrono::milliseconds(250);
     /// Changes of levels that are too small to matter are sent at this interval, or along with
--- a/lib/feed/client.cpp
+++ b/lib/feed/client.cpp
@@ -22,7 +22,7 @@
 namespace {
 
 constexpr std::size_t ringCapacity = 8192;
-constexpr Duration tickInterval = std::chrono::milliseconds(50);
+constexpr Duration tickInterval = std::chrono::milliseconds(100);
 /// Time allowed for the departure message to leave the process before the links are closed.
 constexpr Duration departureDelay = std::chrono::milliseconds(100);
 
--- a/lib/gateway/gatewayrole.cpp
+++ b/lib/gateway/gatewayrole.cpp
@@ -25,7 +25,7 @@
 
 namespace {
 
-constexpr Duration tickInterval = std::chrono::milliseconds(25);
+constexpr Duration tickInterval = std::chrono::milliseconds(30);
 constexpr Duration sweepInterval = std::chrono::milliseconds(250);
 /// Minimum time for which a leaving entry accepts requests, since callers cache the names of
 /// entries for a few seconds. Requests accepted in that time still finish within the grace period.
--- a/lib/runtime/supervisor.cpp
+++ b/lib/runtime/supervisor.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr Duration pollInterval = std::chrono::milliseconds(50);
+constexpr Duration pollInterval = std::chrono::milliseconds(250);
 
 } // namespace
 
--- a/lib/wire/hub.cpp
+++ b/lib/wire/hub.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr Duration tickInterval = std::chrono::milliseconds(50);
+constexpr Duration tickInterval = std::chrono::milliseconds(100);
 constexpr unsigned maxDoublings = 10;
 
 Error linkError(ErrorCode code, const std::string &step, const std::string &peer,
--- a/unittests/overlay/network.h
+++ b/unittests/overlay/network.h
@@ -24,6 +24,9 @@
 using namespace kumquathaven::overlay;
 using std::chrono::milliseconds;
 
+/// Time between two ticks of an instance, as in an entry.
+inline const Duration tickInterval = milliseconds(30);
+
 /// Counts over a part of a history.
 struct Traffic
 {
@@ -46,7 +49,7 @@
             node->tree = {"e" + std::to_string(i), "z" + std::to_string(i % domains),
                           static_cast<std::uint32_t>(90 + 70 * (i % 4))};
             node->index = i;
-            node->nextTick = m_now + Duration(m_random.below(25'000));
+            node->nextTick = m_now + Duration(m_random.below(30'000));
             m_nodes.push_back(std::move(node));
         }
         for (auto &it : m_nodes)
@@ -142,7 +145,7 @@
             }
             for (auto &it : m_nodes) {
                 if (it->isUp && !it->isFrozen && it->nextTick <= m_now) {
-                    it->nextTick = m_now + milliseconds(25);
+                    it->nextTick = m_now + tickInterval;
                     apply(*it, it->member->tick(m_now));
                 }
             }
@@ -242,7 +245,7 @@
         node.member = std::make_unique<Member>(node.tree);
         node.levels.clear();
         node.uplinks.clear();
-        node.nextTick = m_now + Duration(m_random.below(25'000));
+        node.nextTick = m_now + Duration(m_random.below(30'000));
     }
 
     std::optional<std::size_t> find(const std::string &name) const
