Entries: a starting entry serves by a confirmed declaration, and never forgets its seeds

Change: the members of the control state come first and the seeds after them; the first declaration after a start is in force once a majority confirmed it, or after the time in which declarations must be in force if none can be confirmed.

--- a/lib/feed/client.cpp
+++ b/lib/feed/client.cpp
@@ -5,6 +5,7 @@
 #include "kumquathaven/base/walltime.h"
 #include "kumquathaven/feed/commandframe.h"
 #include "kumquathaven/feed/follower.h"
+#include "kumquathaven/feed/memberaddresses.h"
 #include "kumquathaven/feed/place.h"
 #include "kumquathaven/telemetry/log.h"
 
@@ -118,6 +119,8 @@
     void drop(wire::LinkId &link);
 
     std::vector<settings::Address> m_members;
+    /// The members of the settings.
+    std::vector<settings::Address> m_configuredMembers;
     wire::Hub &m_hub;
     catalogue::View &m_view;
     Follower m_follower;
@@ -151,6 +154,7 @@
         for (const settings::Address &it : settings.platform->seeds)
             m_members.push_back(settings::linkOfSeed(settings, it));
     }
+    m_configuredMembers = m_members;
     const auto pushKind = [this](Event::Kind kind, const wire::Peer &peer) {
         push({kind, peer.link, peer.name, peer.outgoing, {}});
     };
@@ -366,18 +370,12 @@
     }
 }
 
-/// Adopts the control members that the control state lists. They replace those of the settings,
-/// which need not list any.
+/// Adopts the control members that the control state lists.
 void FeedClient::Impl::followMembers(const catalogue::Catalogue &catalogue)
 {
-    if (catalogue.controlLinks.empty())
-        return;
-    m_members.clear();
-    for (const std::string &it : catalogue.controlLinks) {
-        const settings::Address address = settings::parseAddress(it);
-        if (address.port != 0)
-            m_members.push_back(address);
-    }
+    if (!catalogue.controlLinks.empty())
+        m_members = memberAddresses({catalogue.controlLinks.begin(), catalogue.controlLinks.end()},
+                                    m_configuredMembers);
 }
 
 void FeedClient::Impl::nextMember()
--- a/lib/gateway/gatewayrole.cpp
+++ b/lib/gateway/gatewayrole.cpp
@@ -1,5 +1,6 @@
 #include "kumquathaven/gateway/gatewayrole.h"
 
+#include "firstplan.h"
 #include "gateway.h"
 #include "listener.h"
 #include "peermessages.h"
@@ -81,6 +82,7 @@
     runtime::HttpServer metricsServer;
     boost::asio::steady_timer timer;
     catalogue::Snapshot lastSnapshot;
+    FirstPlan firstPlan;
     TimePoint nextSweep{};
     /// When the entry stopped to accept connections and requests.
     TimePoint stoppedAcceptingAt{};
@@ -232,12 +234,15 @@
     const bool hasChanged = snapshot.catalogue != lastSnapshot.catalogue
         || snapshot.instances != lastSnapshot.instances
         || snapshot.provenAt != lastSnapshot.provenAt;
-    if (!hasChanged)
+    const bool waitsForFirst = !gateway.plan && snapshot.catalogue->declaration.text;
+    if (!hasChanged && !waitsForFirst)
         return;
     const bool isNewCatalogue = snapshot.catalogue != lastSnapshot.catalogue;
     const std::uint64_t version = snapshot.catalogue->declaration.version;
-    const bool isNewPlan = snapshot.catalogue->declaration.text
-        && (!gateway.plan || gateway.plan->plan.version < version);
+    const bool isNewPlan = waitsForFirst
+        ? mayAdoptFirst(firstPlan, snapshot.provenAt != TimePoint{}, settings.platform->inForceTime,
+                        now)
+        : gateway.plan && gateway.plan->plan.version < version;
     if (snapshot.instances != lastSnapshot.instances) {
         gateway.retryRules.instances = static_cast<std::uint32_t>(
             std::max<std::size_t>(1, snapshot.instances->entries.size()));
