Lint: a width and two bindings that clang refuses

Cause: clang-tidy found a widening multiplication, and clang++ refuses a structured binding in a captured expression. Change: both spelled out.

--- a/lib/gateway/serverlist.cpp
+++ b/lib/gateway/serverlist.cpp
@@ -18,7 +18,7 @@
 constexpr Duration retryInterval = std::chrono::milliseconds(500);
 constexpr std::uint32_t maxPages = 400;
 /// A page of the list has some tens of kilobytes.
-constexpr std::uint64_t maxPageBytes = 4 * 1024 * 1024;
+constexpr std::uint64_t maxPageBytes = std::uint64_t{4} * 1024 * 1024;
 constexpr const char *connectionName = "list";
 
 } // namespace
--- a/unittests/platform/listtest.cpp
+++ b/unittests/platform/listtest.cpp
@@ -99,12 +99,14 @@
 
 TEST_CASE("unknown fields and large but possible values do not hide a server")
 {
-    for (const auto &[field, value] :
+    for (const auto &row :
          std::vector<std::pair<std::string, std::string>>{{"Slots", "4000000000"},
                                                           {"ColdLeftMs", "1e300"},
                                                           {"ColdLeftMs", "-5"},
                                                           {"born", "1.7e12"},
                                                           {"New", R"({"a":[1,2,{"b":"}]"}]})"}}) {
+        const std::string &field = row.first;
+        const std::string &value = row.second;
         CAPTURE(field);
         CHECK(pageWith(goodBut(field, value)).servers.size() == 2);
     }
