--- a/unittests/feed/memberaddressestest.cpp
+++ b/unittests/feed/memberaddressestest.cpp
@@ -10,6 +10,7 @@
 std::vector<std::string> textsOf(const std::vector<settings::Address> &addresses)
 {
     std::vector<std::string> texts;
+    texts.reserve(addresses.size());
     for (const settings::Address &it : addresses)
         texts.push_back(settings::toString(it));
     return texts;
