--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -316,7 +316,7 @@
 
 
 class Site:
-    def __init__(self, record, servers, controls=3, entries=1):
+    def __init__(self, record, servers, controls=3, entries=1, skip=()):
         self.record = record
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="kumquathaven-review-"))
         self.servers = servers
@@ -327,15 +327,16 @@
         self.controls = [f"{self.prefix}.{n + 1}" for n in range(controls)]
         self.entries = [f"{self.prefix}.{n + 101}" for n in range(entries)]
         for n, ip in enumerate(self.controls):
-            self.add(f"control-{n + 1}", "control", ip, CORE)
+            if n not in skip:
+                self.add(f"control-{n + 1}", "control", ip, CORE)
         for n, ip in enumerate(self.entries):
             self.add(f"entry-{n + 1}", "entry", ip, EDGE)
 
-    def add(self, name, role, ip, limits):
+    def add(self, name, role, ip, limits, bootstrap=True):
         at = lambda port: f"{ip}:{self.ports[port]}"
         data = self.folder / ("data-" + name)
         data.mkdir(exist_ok=True)
-        fields = {"Node": name, "Role": role, "Ip": ip, "Zone": "z1", "Region": "r", "Bootstrap": True,
+        fields = {"Node": name, "Role": role, "Ip": ip, "Zone": "z1", "Region": "r", "Bootstrap": bootstrap,
                   "Listen": {it: at(it) for it in ("Front", "Ready", "Control", "Directory")},
                   "PortRange": [self.ports["P0"], self.ports["P1"]],
                   "Seeds": [f"{it}:{self.ports['Control']}" for it in self.controls[:3]],
