--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -160,6 +160,10 @@
     return method, target, fields, body
 
 
+def closes(request):
+    return request[2].get("connection", "").lower() == "close"
+
+
 def head(status, fields):
     return (f"HTTP/1.1 {status} X\r\n" + "".join(f"{k}: {v}\r\n" for k, v in fields.items()) + "\r\n").encode("latin-1")
 
@@ -189,6 +193,8 @@
             if not request:
                 return
             self.answer(connection, *request)
+            if closes(request):
+                return
 
     def reply(self, connection, status, body, fields, more=None):
         out = {"Content-Length": len(body), **(more or {})}
@@ -292,9 +298,14 @@
 
     def serve(self, connection):
         file = connection.makefile("rb")
-        while read_request(file):
-            body = json.dumps({"Instances": [it.entry() for it in self.servers], "Next": None}).encode()
+        while request := read_request(file):
+            body = self.body()
             connection.sendall(head(200, {"Content-Type": "application/json", "Content-Length": len(body)}) + body)
+            if closes(request):
+                return
+
+    def body(self):
+        return json.dumps({"Instances": [it.entry() for it in self.servers], "Next": None}).encode()
 
 
 class Process:
