--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,5 +1,6 @@
-"""A consumer on a slow link reads its answer while the entry gets SIGTERM."""
+"""All processes are killed shortly after new weights were named, and start again at once."""
 
+import json
 import pathlib
 import signal
 import socket
@@ -11,73 +12,138 @@
 sys.path.insert(0, str(FOLDER.parent / "common"))
 import harness as h
 
-BODY = 1_200_000
-BYTES_A_SECOND = 200_000
-CONSUMERS = 5
-
-
-class Client:
-    """A consumer: reads at the speed of its link, from a kept channel."""
-
-    def __init__(self, record, address):
-        self.record, self.id = record, h.new_id()
-        self.address, self.result, self.got = address, None, 0
-        self.thread = threading.Thread(target=self.run, daemon=True)
-
-    def run(self):
-        it = socket.socket()
-        # The segments and the window of a network, not those of the loopback.
-        it.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1460)
-        it.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
-        it.settimeout(8)
-        it.connect(self.address)
-        started = h.now()
-        it.sendall(h.request_bytes("GET", "/read/x", self.id, 8000))
-        self.record(f"client: request {self.id} is sent")
-        data, length = b"", None
-        try:
-            while length is None or len(data) < length:
-                part = it.recv(4096)
-                if not part:
-                    break
-                data += part
-                if length is None and b"\r\n\r\n" in data:
-                    head, _, rest = data.partition(b"\r\n\r\n")
-                    fields = dict(line.split(b": ", 1) for line in head.split(b"\r\n")[1:])
-                    length = len(head) + 4 + int(fields[b"Content-Length"])
-                    self.record(f"client: request {self.id} gets {head.splitlines()[0]!r} of {fields.get(b'X-Response-Stamp')!r}, "
-                                f"{int(fields[b'Content-Length'])} bytes")
-                time.sleep(len(part) / BYTES_A_SECOND)
-            self.result = "whole" if length is not None and len(data) == length else "cut"
-        except OSError as problem:
-            self.result = f"cut ({type(problem).__name__})"
-        self.got = len(data)
-        self.record(f"client: request {self.id}: {self.result}, {len(data)} bytes after {h.now() - started:.2f} s")
+LAG_S = 0.8
+LOAD_S = 0.29
+KILL_AFTER_S = 0.35
+DOWN_S = 0.5
+AFTER_S = 30.0
+A_SECOND = 10
+
+
+class List(h.ServerList):
+    """The list of the platform, which lags by LagMs."""
+    def body(self):
+        entries = []
+        for it in self.servers:
+            entry = it.entry()
+            if it.version:
+                past = [version for at, version in it.versions if at <= h.now() - LAG_S]
+                entry["Models"][0]["Version"] = past[-1] if past else it.versions[0][1]
+            entries.append(entry)
+        return json.dumps({"Instances": entries, "Next": None}).encode()
+
+
+h.ServerList = List
+
+
+class Engine(h.Server):
+    """Loads new weights in LOAD_S; the mode is queue, and requests that have not started get 503 with X-Not-Executed."""
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.versions = [(0, self.version)]
+        self.busy = False
+        self.fence = 0
+
+    def answer(self, connection, method, target, fields, body):
+        if fields.get("x-target-instance", self.name) != self.name:
+            return super().answer(connection, method, target, fields, body)
+        if target == "/-/report":
+            it = {"Stage": "both", "Busy": self.busy, "Seq": self.orders, "born": 1, "Queued": 0, "Active": 0, "KvUsed": 0,
+                  "KvTotal": 173548, "Models": [{"Name": "m", "Version": self.version, "Adapters": []}]}
+            return self.reply(connection, 200, json.dumps(it).encode(), fields)
+        if target == "/-/order":
+            order = json.loads(body)
+            self.record(f"server {self.name} gets an order of {order['Holder']}, fence {order['Fence']}, version {order['Version']}")
+            if order["Fence"] < self.fence:
+                return self.reply(connection, 412, b"{}", fields)
+            self.fence = order["Fence"]
+            if self.busy or order.get("Expected", self.orders) != self.orders:
+                return self.reply(connection, 409, b"{}", fields)
+            if order["Version"] == self.version:
+                return self.reply(connection, 200, b"{}", fields)
+            self.orders += 1
+            self.busy = True
+            threading.Thread(target=self.load, args=(order["Version"],), daemon=True).start()
+            return self.reply(connection, 202, b"{}", fields)
+        if self.busy and "x-model" in fields:
+            return self.reply(connection, 503, b"", fields, {"X-Not-Executed": "1"})
+        return super().answer(connection, method, target, fields, body)
+
+    def load(self, version):
+        time.sleep(LOAD_S)
+        self.version = version
+        self.versions.append((h.now(), version))
+        self.busy = False
+        self.record(f"server {self.name} has loaded version {version}")
+
+
+def send(site, record, n, path, results, **more):
+    request = h.new_id()
+    ip = site.entries[n % len(site.entries)]
+    try:
+        with socket.create_connection((ip, site.ports["Front"]), timeout=5) as it:
+            it.sendall(h.request_bytes("POST", path, request, 4000, b"{}", **more))
+            status = it.makefile("rb").readline().decode().strip() or "closed"
+    except OSError as problem:
+        status = type(problem).__name__
+    results.append((h.now(), path, status))
+    record(f"client: request {request} at {ip}: {status}")
+
+
+def name(site, version):
+    assert site.operator("POST", "/-/version-put", json.dumps({"Model": "m", "Version": version}))[0] == 200
 
 
 def case(record, sites):
-    servers = [h.Server(record, f"app-{n}", "app") for n in (1, 2)]
-    for it in servers:
-        it.body = b"x" * BODY
-    site = h.Site(record, servers, entries=2)
+    engine = Engine(record, "lm-1", "lm", 1)
+    engine.events, engine.pause = 4, 0.02
+    site = h.Site(record, [engine], controls=3, entries=2)
     sites.append(site)
-    config = h.configuration(1, [h.route("read", "idempotent", "app", TimeoutMs=8000)])
-    assert site.operator("PUT", "/-/config", h.json.dumps(config))[0] == 200
+    config = h.configuration(1, [h.route("ask", "streaming", "lm", Resumable=True)])
+    assert site.operator("PUT", "/-/config", json.dumps(config))[0] == 200
     site.wait_ready()
-    time.sleep(1)
-    clients = [Client(record, (site.entries[0], site.ports["Front"])) for _ in range(CONSUMERS)]
-    for it in clients:
-        it.thread.start()
-    time.sleep(0.5)
+    name(site, 2)
+    time.sleep(5)
+    results, end = [], [False]
+
+    def traffic():
+        n = 0
+        while not end[0]:
+            n += 1
+            threading.Thread(target=send, args=(site, record, n, "/ask/x", results), kwargs=h.PROMPT, daemon=True).start()
+            time.sleep(1 / A_SECOND)
+    threading.Thread(target=traffic, daemon=True).start()
+    time.sleep(3)
+    fault = h.now()
+    name(site, 3)
     if h.TROUBLE:
-        record("the entry gets SIGTERM")
-        site.processes["entry-1"].signal(signal.SIGTERM)
-        at = h.now()
-        site.processes["entry-1"].process.wait(9)
-        record(f"the entry has ended {h.now() - at:.2f} s after SIGTERM")
-    for it in clients:
-        it.thread.join(10)
-    return all(it.result == "whole" for it in clients)
+        time.sleep(max(0.0, fault + KILL_AFTER_S - h.now()))
+        for it in site.processes.values():
+            it.signal(signal.SIGKILL)
+        record(f"all processes are killed, {h.now() - fault:.2f} s after the new weights were sent")
+        for it in site.processes.values():
+            it.process.wait()
+        time.sleep(DOWN_S)
+        for it in site.processes.values():
+            it.start()
+        record("all processes have started again, with their disks")
+    back = h.now()
+    time.sleep(AFTER_S)
+    end[0] = True
+    time.sleep(1)
+
+    def served(since, until):
+        some = [status for at, _, status in results if since <= at < until]
+        ok = sum("200" in status for status in some)
+        record(f"{ok} of {len(some)} requests served from {since - back:.1f} s to {until - back:.1f} s after the machines were back")
+        return ok / len(some) if some else 0
+    before = served(fault - 3, fault)
+    after = served(back + h.BOUNDS["RecoverS"], back + AFTER_S)
+    record(f"the engine has version {engine.version}, is ready, {'busy' if engine.busy else 'not busy'}, on the list")
+    if before < 0.25:
+        raise RuntimeError("too little was served before")
+    return after >= 0.25
 
 
 h.main(FOLDER, case)
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -446,8 +446,9 @@
     site = []
 
     def expired(*_):
-        raise TimeoutError("the case takes too long")
+        raise TimeoutError("the case takes too long, or was ended")
     signal.signal(signal.SIGALRM, expired)
+    signal.signal(signal.SIGTERM, expired)
     signal.alarm(110)
     try:
         held = case(record, site)
