Gateway: no answer of the entry follows the head of a server's answer

Cause: a stream that broke was resumed by send(). send() may find no server: a connection that is refused is no attempt and leads back to send() until no server is left. It then called refuse(), which writes an answer whatever was written before. Four other places looked at m_isHeadSent before they called refuse(); this one did not.

Change: every failure of a request ends in endWithError(), which cuts an answer whose head was sent and answers with an error otherwise. A connection that is asked for an answer after it has sent a head resets itself, so that the order is impossible, whoever asks.

--- a/lib/gateway/callerconnection.cpp
+++ b/lib/gateway/callerconnection.cpp
@@ -157,6 +157,10 @@
 {
     if (m_isClosed)
         return;
+    if (m_hasAnswerStarted) {
+        abort();
+        return;
+    }
     runtime::HeaderFields fields = reply.headers;
     fields.emplace_back("Content-Type", reply.contentType);
     for (auto &it : framingFields(reply.body.size()))
@@ -172,6 +176,7 @@
 {
     if (m_isClosed)
         return;
+    m_hasAnswerStarted = true;
     runtime::HeaderFields fields;
     for (const auto &it : head.fields) {
         const bool isOfConnection = runtime::sameFieldName(it.first, "Connection")
@@ -234,6 +239,7 @@
 {
     m_exchange.reset();
     m_isChunked = false;
+    m_hasAnswerStarted = false;
     if (!m_keepsAlive || m_gateway.isDraining) {
         m_isClosed = true;
         m_connection->closeAfterWrites();
--- a/lib/gateway/callerconnection.h
+++ b/lib/gateway/callerconnection.h
@@ -26,7 +26,8 @@
 
     void start(TimePoint now);
 
-    /// Sends a complete answer to the current request.
+    /// Sends a complete answer to the current request. If an answer has started already, ends that
+    /// one by abort() instead.
     void reply(const runtime::HttpReply &reply);
 
     /// Starts to send an answer that comes from a server. The body follows through sendBody(), with
@@ -80,6 +81,8 @@
     bool m_isHeadRequest = false;
     bool m_isVersion11 = true;
     bool m_isChunked = false;
+    /// Whether sendHead() was called for the request that is being answered.
+    bool m_hasAnswerStarted = false;
     bool m_isClosed = false;
 };
 
--- a/lib/gateway/exchange.cpp
+++ b/lib/gateway/exchange.cpp
@@ -57,7 +57,7 @@
             return true;
         },
         [&](const Error &error) {
-            refuse(error);
+            endWithError(error);
             return false;
         });
     if (!isKnown)
@@ -116,24 +116,20 @@
 void Exchange::deadlinePassed()
 {
     if (m_isHeadSent) {
-        m_gateway.counters.cut.add();
-        const auto caller = m_caller.lock();
         // An answer that is no stream arrives at once: this one is too slow or does not end.
         if (!isStream())
             endAttempt(AttemptEnd::Cut);
-        close(telemetry::LogLevel::Warn, "cut at the deadline");
-        if (caller)
-            caller->abort();
+        cut("cut at the deadline");
         return;
     }
     const std::string server = m_pick ? m_pick->serverId : std::string();
     endAttempt(m_hasFirstToken && !isStream() ? AttemptEnd::Cut : AttemptEnd::Abandoned);
-    refuse({ErrorCode::DeadlineExceeded,
-            "gateway.deadline",
-            server,
-            "no answer before the deadline",
-            m_outcome,
-            {}});
+    endWithError({ErrorCode::DeadlineExceeded,
+                  "gateway.deadline",
+                  server,
+                  "no answer before the deadline",
+                  m_outcome,
+                  {}});
 }
 
 void Exchange::callerDisconnected()
@@ -144,6 +140,17 @@
     close(telemetry::LogLevel::Info, "caller disconnected");
 }
 
+/// Ends the exchange without a complete answer of a server. Every failure of a request ends here,
+/// so that no answer of this instance follows the head of a server's answer.
+void Exchange::endWithError(const Error &error)
+{
+    if (m_isHeadSent)
+        cut("cut by the server", {{"reason", describe(error)}});
+    else
+        refuse(error);
+}
+
+/// Answers the caller with an error. Called by endWithError() only.
 void Exchange::refuse(const Error &error)
 {
     const auto caller = m_caller.lock();
@@ -162,6 +169,16 @@
         caller->reply(reply);
 }
 
+/// Ends an answer whose head was sent, so that the caller sees that it is incomplete.
+void Exchange::cut(const char *what, telemetry::LogFields fields)
+{
+    m_gateway.counters.cut.add();
+    const auto caller = m_caller.lock();
+    close(telemetry::LogLevel::Warn, what, std::move(fields));
+    if (caller)
+        caller->abort();
+}
+
 /// Ends the exchange, including the running attempt, and logs the outcome.
 void Exchange::close(telemetry::LogLevel level, const char *what, telemetry::LogFields fields)
 {
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -72,7 +72,9 @@
     void recordCallerPause(TimePoint now);
     void recordServerPause(TimePoint now);
 
+    void endWithError(const Error &error);
     void refuse(const Error &error);
+    void cut(const char *what, telemetry::LogFields fields = {});
     void close(telemetry::LogLevel level, const char *what, telemetry::LogFields fields = {});
     /// Writes a log line with the fields that identify this request.
     void log(telemetry::LogLevel level, const char *what, telemetry::LogFields fields) const;
--- a/lib/gateway/exchangeanswer.cpp
+++ b/lib/gateway/exchangeanswer.cpp
@@ -78,10 +78,6 @@
     if (retry(end, Outcome::NotRun))
         return;
     endAttempt(end);
-    if (m_isHeadSent) {
-        handleFailure(CallFailure::Cut);
-        return;
-    }
     const TimePoint now = monotonicNow();
     // The caller's next attempt may go to the servers that this one was sent to.
     const PickRequest next{&m_plan->plan, m_route, &m_callerHead, m_customer, {}, m_deadline};
@@ -89,12 +85,12 @@
     if (!canPick(m_gateway.servers, next, now))
         retryAfter = std::max(retryAfter,
                               timeToPauseEnd(m_gateway.servers, next, now).value_or(Duration(0)));
-    refuse({ErrorCode::Overloaded,
-            "gateway.answer",
-            {},
-            "the server does not accept requests now",
-            m_outcome,
-            retryAfter});
+    endWithError({ErrorCode::Overloaded,
+                  "gateway.answer",
+                  {},
+                  "the server does not accept requests now",
+                  m_outcome,
+                  retryAfter});
 }
 
 void Exchange::handleBody(std::string_view bytes)
@@ -219,20 +215,12 @@
         return;
     }
     endAttempt(end);
-    if (!m_isHeadSent) {
-        refuse({ErrorCode::UpstreamFailed,
-                "gateway.answer",
-                {},
-                "the server ended the connection before the answer was complete",
-                m_outcome,
-                {}});
-        return;
-    }
-    m_gateway.counters.cut.add();
-    const auto caller = m_caller.lock();
-    close(telemetry::LogLevel::Warn, "cut by the server");
-    if (caller)
-        caller->abort();
+    endWithError({ErrorCode::UpstreamFailed,
+                  "gateway.answer",
+                  {},
+                  "the server ended the connection before the answer was complete",
+                  m_outcome,
+                  {}});
 }
 
 } // namespace kumquathaven::gateway
--- a/lib/gateway/exchangesend.cpp
+++ b/lib/gateway/exchangesend.cpp
@@ -74,7 +74,7 @@
     else if (!pickForFirstAttempt(request, now))
         return;
     if (!m_pick) {
-        refuse(busyError(m_outcome, timeToPauseEnd(m_gateway.servers, request, now)));
+        endWithError(busyError(m_outcome, timeToPauseEnd(m_gateway.servers, request, now)));
         return;
     }
     if (m_attempts == 0)
@@ -100,7 +100,7 @@
     m_pick = result.pick;
     if (!result.excessWait)
         return true;
-    refuse(lateRefusal(rate, *result.excessWait, timeLeft(now), m_callerHead.requestId));
+    endWithError(lateRefusal(rate, *result.excessWait, timeLeft(now), m_callerHead.requestId));
     return false;
 }
 
--- a/test/system/platform_common.py
+++ b/test/system/platform_common.py
@@ -59,7 +59,9 @@
 
 
 class Installation:
-    def __init__(self, controls=3, entries=2, servers=None):
+    def __init__(self, controls=3, entries=2, servers=None, **platform):
+        """platform: settings of the processes besides those of every test."""
+        self.platform = platform
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="kumquathaven-"))
         self.servers = servers or [Server("app-1", "app"), Server("app-2", "app"), Server("lm-1", "lm", 1),
                                    Server("lm-2", "lm", 1)]
@@ -75,7 +77,8 @@
     def settings(self, role, host, first):
         at = {name: f"{host}:{port}" for name, port in self.ports.items()}
         platform = {"seeds": [f"127.0.0.{n}:{self.ports['declarations']}" for n in (1, 2, 3)], "firstStart": first,
-                    "lossesTolerated": 1, "serverList": {"address": f"127.0.0.1:{self.list.port}"}, "checksFencing": True}
+                    "lossesTolerated": 1, "serverList": {"address": f"127.0.0.1:{self.list.port}"}, "checksFencing": True,
+                    **self.platform}
         it = {"role": role, "region": "r", "failureDomain": "z1", "linkSecret": "a-secret-of-this-test", "platform": platform}
         if role == "control":
             platform.update(declarations=at["declarations"], directory=at["directory"])
--- /dev/null
+++ b/test/system/platform_interrupted.py
@@ -0,0 +1,62 @@
+"""Work that is interrupted: streams that no server continues, rollouts whose leader ends, requests of an entry that stops."""
+
+import socket
+import unittest
+
+from platform_common import MODEL, Installation, plan
+
+
+def read_until_closed(connection, seconds=8):
+    """Returns what arrives on a connection until its end."""
+    connection.settimeout(seconds)
+    received = b""
+    try:
+        while data := connection.recv(65536):
+            received += data
+    except (ConnectionError, TimeoutError):
+        pass
+    return received
+
+
+class Interrupted(unittest.TestCase):
+
+    def start(self, **options):
+        self.it = Installation(**options)
+        self.addCleanup(self.it.stop)
+        self.assertEqual(self.it.declare(plan(3)), 200)
+        self.it.wait_until_served(1)
+
+    def send(self, method, path, request_id, deadline_ms=4000, **fields):
+        """Sends a request to the first entry and returns its connection."""
+        fields = {"Host": "a.example", "X-Key": "k-north", "X-Request-Id": request_id, "X-Deadline-Ms": deadline_ms,
+                  "Content-Length": 0, **{name.replace("_", "-"): value for name, value in fields.items()}}
+        connection = socket.create_connection(("127.0.1.1", self.it.ports["callers"]), 2)
+        self.addCleanup(connection.close)
+        connection.sendall((f"{method} {path} HTTP/1.1\r\n" + "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+                            + "\r\n").encode())
+        return connection
+
+
+class Streams(Interrupted):
+
+    # Guards against an answer of the entry inside a stream of a server.
+    def test_a_stream_that_no_server_continues_is_cut_and_has_one_head(self):
+        self.start()
+        engines = self.it.servers[2:]
+
+        def end_all(handler, server):
+            # New connections are refused at once, also while the listening thread waits.
+            for it in engines:
+                it.httpd.socket.shutdown(socket.SHUT_RDWR)
+            server.stream(handler, 1, 6, cut_after=2)
+            return True
+        for it in engines:
+            it.trick = end_all
+        received = read_until_closed(self.send("POST", "/ask/x", "s1", **MODEL))
+        self.assertIn(b"piece 2", received)
+        self.assertEqual(received.count(b"HTTP/1.1"), 1, received)
+        self.assertNotIn(b"0\r\n\r\n", received)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/unittests/gateway/exchangetest.cpp
@@ -0,0 +1,66 @@
+// What callers get when servers fail, answer wrongly or do not answer, over real connections.
+
+#include "exchangefixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace gatewaytest;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Lets all engines begin streams, the first two events each.
+void streamTwoEvents(ExchangeFixture &t)
+{
+    for (const auto &it : t.engines)
+        it->answer = [](Peer &peer, const std::string &request) {
+            peer.send(streamHead(fieldOf(request, "Id")) + streamEvent(1) + streamEvent(2));
+        };
+}
+
+} // namespace
+
+// Guards against an answer of the entry inside a stream of a server.
+TEST_CASE("a stream that no server can resume is cut without a second answer")
+{
+    ExchangeFixture t;
+    streamTwoEvents(t);
+    Peer &caller = t.connect();
+    caller.send(ExchangeFixture::request("ask", "r1"));
+    REQUIRE(t.runUntil([&] {
+        return caller.received.find("piece 2") != std::string::npos;
+    }));
+    SUBCASE("all servers refuse connections")
+    {
+        for (const auto &it : t.engines)
+            it->cut();
+    }
+    SUBCASE("the other server refuses the request")
+    {
+        for (const auto &it : t.engines)
+            it->answer = [](Peer &peer, const std::string &request) {
+                peer.send(
+                    wholeAnswer(503, "Id: " + fieldOf(request, "Id") + "\r\nNot-Run: 1\r\n", ""));
+            };
+        for (const auto &it : t.engines) {
+            for (const auto &connection : it->connections)
+                connection->reset();
+        }
+    }
+    SUBCASE("no time is left")
+    {
+        t.runUntil(
+            [] {
+                return false;
+            },
+            milliseconds(3'985));
+        for (const auto &it : t.engines)
+            it->cut();
+    }
+    REQUIRE(t.runUntil([&] {
+        return caller.hasEnded;
+    }));
+    CHECK(countOf(caller.received, "HTTP/1.1") == 1);
+    CHECK(caller.received.find("0\r\n\r\n") == std::string::npos);
+    CHECK(t.gateway.running == 0);
+}
