Gateway: a server that can be chosen for a retry is one that will be chosen

What callers saw: 502 or 503 of the entry where a server had answered, or a stream that was cut although its server had not ended it for good.

Cause: before a retry the present attempt is ended if canPick() finds another server. pick() then leaves out servers whose weights were replaced too long ago, which canPick() did not, so that a retry could end an attempt and find nothing. It also spent the retry budget for it.

Change: the age of the weights is checked with the other conditions of a candidate, which both functions share.

Evidence: two tests failed before the change: canPick() of old weights, and a 500 of the only server with usable weights, whose caller got 502 of the entry. Both pass with it.

--- a/lib/gateway/enginechoice.cpp
+++ b/lib/gateway/enginechoice.cpp
@@ -32,11 +32,16 @@
     return next == named->second.end() ? Duration(0) : now - next->second;
 }
 
-/// Returns the request with only those candidates whose weights were replaced less than \p maxAge
-/// ago.
-routing::Request withRecentWeights(const Servers &servers, const routing::Request &request,
-                                   const std::string &model, Duration maxAge, TimePoint now)
+Duration shareOfWeightsTime(const Servers &servers, double share)
 {
+    return std::chrono::duration_cast<Duration>(servers.weightsTime * share);
+}
+
+/// Returns the request with only those candidates whose weights are as good as the newest ones.
+routing::Request withNewWeights(const Servers &servers, const routing::Request &request,
+                                const std::string &model, TimePoint now)
+{
+    const Duration maxAge = shareOfWeightsTime(servers, equalWeightsShare);
     routing::Request out = request;
     out.candidates.clear();
     for (const routing::Slot it : request.candidates) {
@@ -120,21 +125,22 @@
     return std::stoull("0" + version);
 }
 
+bool isUsableVersion(const Servers &servers, const std::string &model, std::uint64_t version,
+                     TimePoint now)
+{
+    return timeSinceReplaced(servers, model, version, now)
+        < shareOfWeightsTime(servers, usableWeightsShare);
+}
+
 std::optional<routing::Choice> chooseEngine(const Servers &servers, const routing::Request &request,
                                             const std::string &model, const Placement &placement,
                                             TimePoint now)
 {
-    const auto shareOfWeightsTime = [&servers](double share) {
-        return std::chrono::duration_cast<Duration>(servers.weightsTime * share);
-    };
-    const auto fresh =
-        withRecentWeights(servers, request, model, shareOfWeightsTime(equalWeightsShare), now);
-    const auto usable =
-        withRecentWeights(servers, request, model, shareOfWeightsTime(usableWeightsShare), now);
+    const auto fresh = withNewWeights(servers, request, model, now);
     auto choiceOnNew = choosePlaced(servers, fresh, placement, now);
-    if (fresh.candidates.size() == usable.candidates.size())
+    if (fresh.candidates.size() == request.candidates.size())
         return choiceOnNew;
-    auto choiceOnAny = choosePlaced(servers, usable, placement, now);
+    auto choiceOnAny = choosePlaced(servers, request, placement, now);
     const bool isWorthWait = choiceOnNew && choiceOnAny
         && choiceOnNew->expectedFirstToken
             <= choiceOnAny->expectedFirstToken + maxWaitForNewWeights;
--- a/lib/gateway/enginechoice.h
+++ b/lib/gateway/enginechoice.h
@@ -35,9 +35,14 @@
 /// Converts a weights version of the routing tables to a number. An empty version is 0.
 std::uint64_t versionNumber(const std::string &version);
 
-/// Chooses among the candidates of a request for \p model. Servers with old weights are chosen less
-/// readily as time passes since the new version was named, and not at all after a limit. Returns
-/// nothing if no candidate accepts work.
+/// Returns whether requests may still be sent to servers that have \p version of a model's weights:
+/// a replaced version is used for a limited time.
+bool isUsableVersion(const Servers &servers, const std::string &model, std::uint64_t version,
+                     TimePoint now);
+
+/// Chooses among the candidates of a request for \p model, which all have usable versions. Servers
+/// with old weights are chosen less readily once some time has passed since the new version was
+/// named. Returns nothing if no candidate accepts work.
 std::optional<routing::Choice> chooseEngine(const Servers &servers, const routing::Request &request,
                                             const std::string &model, const Placement &placement,
                                             TimePoint now);
--- a/lib/gateway/pick.cpp
+++ b/lib/gateway/pick.cpp
@@ -159,7 +159,8 @@
     const routing::UpstreamView &view = servers.fleet.upstreams[server.slot];
     return !view.leaving && !view.loading && server.pausedUntil <= now
         && request.tried.count(start) == 0
-        && routing::takesWork(view.health, deployment::isRepeatable(*request.route));
+        && routing::takesWork(view.health, deployment::isRepeatable(*request.route))
+        && isUsableVersion(servers, request.head->model, versionNumber(view.weightsVersion), now);
 }
 
 /// Removes failing servers, up to the share that may be left out.
--- a/unittests/gateway/exchangetest.cpp
+++ b/unittests/gateway/exchangetest.cpp
@@ -6,6 +6,7 @@
 
 using namespace gatewaytest;
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 namespace {
 
@@ -64,3 +65,30 @@
     CHECK(caller.received.find("0\r\n\r\n") == std::string::npos);
     CHECK(t.gateway.running == 0);
 }
+
+// Guards against a retry that gives up the present answer for a server that cannot be chosen.
+TEST_CASE("an error of the only server that can be chosen reaches the caller")
+{
+    ExchangeFixture t;
+    t.gateway.servers.weightsTime = milliseconds(100);
+    const auto named = [](std::uint64_t version) {
+        auto it = std::make_shared<catalogue::Catalogue>();
+        it->weights["m"] = version;
+        it->serverWeights["lm0@0/m"] = {"lm0@0", "m", 2, false};
+        return it;
+    };
+    applyCatalogue(t.gateway.servers, named(1), monotonicNow() - seconds(1));
+    applyCatalogue(t.gateway.servers, named(2), monotonicNow() - milliseconds(500));
+    for (const auto &it : t.engines)
+        it->answer = [](Peer &peer, const std::string &request) {
+            peer.send(wholeAnswer(500, "Id: " + fieldOf(request, "Id") + "\r\n", "server error"));
+        };
+    Peer &caller = t.connect();
+    caller.send(ExchangeFixture::request("ask", "r1"));
+    REQUIRE(t.runUntil([&] {
+        return caller.received.find("\r\n\r\n") != std::string::npos;
+    }));
+    CHECK(caller.received.substr(0, 12) == "HTTP/1.1 500");
+    CHECK(t.engines[0]->requests.size() == 1);
+    CHECK(t.engines[1]->requests.empty());
+}
--- a/unittests/gateway/serverstest.cpp
+++ b/unittests/gateway/serverstest.cpp
@@ -127,6 +127,9 @@
     applyCatalogue(servers, named(2), at(1000));
     CHECK(gateway::pick(servers, fixture.request(at(1500)), at(1500)));
     CHECK(gateway::pick(servers, fixture.request(at(4000)), at(4000)));
+    // A retry ends the present attempt if another server can be chosen.
+    CHECK(gateway::canPick(servers, fixture.request(at(4000)), at(4000)));
+    CHECK_FALSE(gateway::canPick(servers, fixture.request(at(5000)), at(5000)));
     CHECK_FALSE(gateway::pick(servers, fixture.request(at(5000)), at(5000)));
     SUBCASE("a later version does not extend that time")
     {
