Weights: a server that is recorded as loading is taken over by the next holder of orders

Cause: the leader records a server as loading before it orders it to load, and entries send nothing to such a server. Only the rollout in the leader's memory cleared the record. The next leader looked at the listed version alone: a server that had loaded by then was not outdated, so that nobody cleared its record. The same happened when the leader's proof of leadership was older than 500 ms for a moment, which also drops its rollouts, when the leadership ended before the proposal that clears the record was committed, and when a second model of the server was rolled out, whose rollout replaced the one of the first.

Change: a server that is recorded as loading and has no rollout gets one with the next step; its report shows whether it must still be ordered. Such servers count towards those that may load at a time. A rollout is kept, and its end proposed again each 500 ms, until the catalogue has it. A server rolls out one model at a time.

--- a/include/kumquathaven/deployment/rollout.h
+++ b/include/kumquathaven/deployment/rollout.h
@@ -28,6 +28,9 @@
     Duration reportInterval = std::chrono::milliseconds(200);
     /// An order that is not reflected in any report after this time is treated as lost.
     Duration orderTimeout = std::chrono::milliseconds(500);
+    /// Interval between two proposals of the record that a rollout has ended, until the catalogue
+    /// contains it. A proposal is lost if the leadership ends before it is committed.
+    Duration recordInterval = std::chrono::milliseconds(500);
     /// A server that has not loaded the version within this time is released, and is not retried
     /// for retryDelay.
     Duration loadTimeout = std::chrono::seconds(5);
@@ -48,9 +51,14 @@
     bool isOrdered = false;
     TimePoint orderedAt{};
     std::optional<EngineReport> report;
+    /// Set once the rollout has ended: the version of the server. The rollout is kept until the
+    /// catalogue shows the server as not loading.
+    std::optional<std::uint64_t> endVersion;
+    TimePoint endProposedAt{};
 };
 
-/// State of the rollouts, kept by the holder of orders.
+/// State of the rollouts, kept by the holder of orders. A server that is recorded as loading and
+/// has no rollout was recorded by an earlier holder; it gets a rollout with the next step.
 struct Rollout
 {
     /// Rollouts in progress by start id of the server.
--- a/lib/deployment/rollout.cpp
+++ b/lib/deployment/rollout.cpp
@@ -47,26 +47,47 @@
     step.departed.assign(departed.begin(), departed.end());
 }
 
-/// Takes the next step of a rollout in progress on a server. Returns whether the rollout has ended.
-bool continueRollout(Rollout &rollout, ServerRollout &it, const ListedServer &server,
+/// Ends a rollout, after which requests may be sent to the server again.
+void endRollout(ServerRollout &it, const std::string &start, std::uint64_t version,
+                RolloutStep &step, TimePoint now)
+{
+    it.endVersion = version;
+    it.endProposedAt = now;
+    step.records.push_back({start, it.model, version, false});
+}
+
+/// Returns whether the catalogue has the end of a rollout, and proposes it again if that takes
+/// long.
+bool isEndRecorded(ServerRollout &it, const ListedServer &server,
+                   const catalogue::Catalogue &catalogue, RolloutStep &step,
+                   const RolloutTimes &times, TimePoint now)
+{
+    const catalogue::ServerWeights *record = recordOf(catalogue, server, it.model);
+    if (record != nullptr && !record->isLoading && record->version >= *it.endVersion)
+        return true;
+    if (now - it.endProposedAt >= times.recordInterval)
+        endRollout(it, startIdOf(server), *it.endVersion, step, now);
+    return false;
+}
+
+/// Takes the next step of a rollout in progress on a server.
+void continueRollout(Rollout &rollout, ServerRollout &it, const ListedServer &server,
                      RolloutStep &step, const RolloutTimes &times, TimePoint now)
 {
     const std::string start = startIdOf(server);
     const std::uint64_t reported = it.report ? versionIn(it.report->weights, it.model) : 0;
     if (it.report && !it.report->isBusy && reported >= it.version) {
-        step.records.push_back({start, it.model, reported, false});
-        return true;
+        endRollout(it, start, reported, step, now);
+        return;
     }
     if (now - it.startedAt > times.loadTimeout) {
-        // Requests may be sent to the server again, with the version that it was last known to
-        // have.
-        step.records.push_back(
-            {start, it.model, std::max(reported, versionIn(server.weights, it.model)), false});
+        // The server has the version that it was last known to have.
+        endRollout(it, start, std::max(reported, versionIn(server.weights, it.model)), step, now);
         rollout.pausedUntil[start] = now + times.retryDelay;
-        return true;
+        return;
     }
     if (it.isCallPending || now < it.nextCallAt)
-        return false;
+        return;
     it.isCallPending = true;
     RolloutCall call{RolloutCall::Kind::Report, server, it.model, it.version, std::nullopt};
     if (it.report && !it.report->isBusy && !it.isOrdered) {
@@ -76,7 +97,6 @@
         it.orderedAt = now;
     }
     step.calls.push_back(std::move(call));
-    return false;
 }
 
 /// A model and the newest announced version of its weights.
@@ -86,22 +106,61 @@
     std::uint64_t version;
 };
 
-/// Starts a rollout on a server with outdated weights.
-void begin(Rollout &rollout, const ListedServer &server, const catalogue::Catalogue &catalogue,
-           const Target &target, RolloutStep &step, const RolloutTimes &times, TimePoint now)
+/// Starts a rollout on a server that is recorded as loading.
+void startRollout(Rollout &rollout, const ListedServer &server, const Target &target,
+                  RolloutStep &step, const RolloutTimes &times, TimePoint now)
 {
-    const std::string start = startIdOf(server);
-    ServerRollout &started = rollout.servers[start];
+    ServerRollout &started = rollout.servers[startIdOf(server)];
     started.model = target.model;
     started.version = target.version;
     started.startedAt = now;
     started.nextCallAt = now + times.noticeDelay;
     started.isCallPending = true;
-    step.records.push_back(
-        {start, target.model, knownWeightsVersion(catalogue, server, target.model), true});
     step.calls.push_back({RolloutCall::Kind::Report, server, target.model, target.version, {}});
 }
 
+/// Records a server with outdated weights as loading and starts a rollout on it.
+void begin(Rollout &rollout, const ListedServer &server, const catalogue::Catalogue &catalogue,
+           const Target &target, RolloutStep &step, const RolloutTimes &times, TimePoint now)
+{
+    step.records.push_back({startIdOf(server), target.model,
+                            knownWeightsVersion(catalogue, server, target.model), true});
+    startRollout(rollout, server, target, step, times, now);
+}
+
+/// What a model's rollout does next on one server.
+enum class ServerState {
+    /// Nothing: the server has the newest weights, leaves, or is paused, or another model of it is
+    /// rolled out.
+    Idle,
+    /// A rollout of this holder is in progress.
+    Loading,
+    /// The rollout has ended, and the catalogue does not have its end yet.
+    Ended,
+    /// The server is recorded as loading, and no rollout of this holder accounts for that.
+    Orphaned,
+    Outdated,
+};
+
+ServerState stateOf(const Rollout &rollout, const ListedServer &server,
+                    const catalogue::Catalogue &catalogue, const Target &target)
+{
+    const std::string start = startIdOf(server);
+    const auto started = rollout.servers.find(start);
+    if (started != rollout.servers.end()) {
+        if (started->second.model != target.model)
+            return ServerState::Idle;
+        return started->second.endVersion ? ServerState::Ended : ServerState::Loading;
+    }
+    if (server.isDraining || rollout.pausedUntil.count(start) > 0)
+        return ServerState::Idle;
+    const catalogue::ServerWeights *record = recordOf(catalogue, server, target.model);
+    if (record != nullptr && record->isLoading)
+        return ServerState::Orphaned;
+    const bool isOutdated = knownWeightsVersion(catalogue, server, target.model) < target.version;
+    return isOutdated ? ServerState::Outdated : ServerState::Idle;
+}
+
 /// Takes the next step of the rollouts of one model.
 void advanceModel(Rollout &rollout, const std::vector<ListedServer> &servers,
                   const catalogue::Catalogue &catalogue, const Target &target, RolloutStep &step,
@@ -114,17 +173,26 @@
         if (it.weights.count(target.model) == 0)
             continue;
         ++holders;
-        const std::string start = startIdOf(it);
-        const auto started = rollout.servers.find(start);
-        if (started != rollout.servers.end() && started->second.model == target.model) {
-            if (continueRollout(rollout, started->second, it, step, times, now))
+        const auto started = rollout.servers.find(startIdOf(it));
+        switch (stateOf(rollout, it, catalogue, target)) {
+        case ServerState::Idle:
+            break;
+        case ServerState::Loading:
+            ++loading;
+            continueRollout(rollout, started->second, it, step, times, now);
+            break;
+        case ServerState::Ended:
+            if (isEndRecorded(started->second, it, catalogue, step, times, now))
                 rollout.servers.erase(started);
-            else
-                ++loading;
-        } else if (!it.isDraining
-                   && knownWeightsVersion(catalogue, it, target.model) < target.version
-                   && rollout.pausedUntil.count(start) == 0) {
+            break;
+        case ServerState::Orphaned:
+            // The server gets no requests already, so that it does not wait for its turn.
+            ++loading;
+            startRollout(rollout, it, target, step, times, now);
+            break;
+        case ServerState::Outdated:
             outdated.push_back(&it);
+            break;
         }
     }
     // The servers with the oldest weights go first, since these weights are the first that may no
--- a/test/system/platform_interrupted.py
+++ b/test/system/platform_interrupted.py
@@ -1,9 +1,12 @@
 """Work that is interrupted: streams that no server continues, rollouts whose leader ends, requests of an entry that stops."""
 
+import json
 import socket
 import unittest
 
+from control_common import wait_for
 from platform_common import MODEL, Installation, plan
+from platform_standin import Server
 
 
 def read_until_closed(connection, seconds=8):
@@ -58,5 +61,25 @@
         self.assertNotIn(b"0\r\n\r\n", received)
 
 
+class Rollouts(Interrupted):
+
+    # Guards against servers that get no requests any more after the holder of orders has ended.
+    def test_a_server_that_loads_when_the_control_members_end_is_used_again(self):
+        engine = Server("lm-1", "lm", 1)
+        engine.load_time = 0.3
+        self.start(servers=[Server("app-1", "app"), engine])
+        self.assertEqual(self.it.request(1, "/ask/x", "POST", **MODEL)[0], 200)
+        body = json.dumps({"Model": "m", "Version": 2})
+        wait_for(lambda: self.it.operator("POST", "/-/version-put", body)[0] == 200, 10, "not acknowledged")
+        wait_for(lambda: engine.orders == 1, 5, "the engine gets no order")
+        for it in self.it.members.values():
+            it.process.kill()
+        for it in self.it.members.values():
+            it.process.wait()
+            it.start()
+        wait_for(lambda: self.it.request(1, "/ask/x", "POST", **MODEL)[0] == 200, 12, "the engine gets no requests")
+        self.assertEqual((engine.version, engine.orders), (2, 1))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/test/system/platform_standin.py
+++ b/test/system/platform_standin.py
@@ -25,6 +25,9 @@
         self.name, self.service, self.version = name, service, version
         self.state = "ready"
         self.orders = 0
+        # Seconds for which the server loads the weights that it was ordered to load.
+        self.load_time = 0.0
+        self.is_loading = False
         # Called with the handler; returns whether it answered.
         self.trick = None
         self.lock = threading.Lock()
@@ -58,7 +61,7 @@
             return self.reply(it, 421, b"", {"X-Instance-Id": self.name})
         if it.path == "/-/report":
             models = [{"Name": "m", "Version": self.version}]
-            return self.reply(it, 200, json.dumps({"Busy": False, "Seq": self.orders, "Models": models}).encode())
+            return self.reply(it, 200, json.dumps({"Busy": self.is_loading, "Seq": self.orders, "Models": models}).encode())
         if it.path == "/-/order":
             return self.take_order(it, json.loads(body))
         with self.lock:
@@ -66,6 +69,8 @@
         if self.trick and self.trick(it, self):
             return None
         if "X-Model" in it.headers:
+            if self.is_loading:
+                return self.reply(it, 503, b"", {"X-Not-Executed": "1"})
             if it.headers.get("X-Expect-Version", str(self.version)) != str(self.version):
                 return self.reply(it, 421, b"", {"X-Instance-Id": self.name, "X-Weight-Versions": str(self.version)})
             return self.stream(it, int(it.headers.get("Last-Event-Id") or 0) + 1, 6)
@@ -74,12 +79,21 @@
     def take_order(self, it, order):
         with self.lock:
             self.fences.append(order["Fence"])
-            if order.get("Expected", self.orders) != self.orders:
+            if self.is_loading or order.get("Expected", self.orders) != self.orders:
                 return self.reply(it, 409, b"{}")
             self.orders += 1
-            self.version = order["Version"]
+            if self.load_time:
+                self.is_loading = True
+                threading.Timer(self.load_time, self.end_load, (order["Version"],)).start()
+            else:
+                self.version = order["Version"]
         return self.reply(it, 202, b"{}")
 
+    def end_load(self, version):
+        with self.lock:
+            self.version = version
+            self.is_loading = False
+
     def reply(self, it, status, body, fields=None):
         it.send_response(status)
         it.send_header("Content-Length", str(len(body)))
--- a/unittests/deployment/rollouttest.cpp
+++ b/unittests/deployment/rollouttest.cpp
@@ -187,3 +187,111 @@
     REQUIRE(step.departed.size() == 1);
     CHECK(step.departed[0] == "old@1");
 }
+
+// Guards against servers that get no requests any more after the holder of orders has ended.
+TEST_CASE("a new holder takes over the servers that are recorded as loading")
+{
+    Servers servers(1, 1);
+    servers.catalogue.weights[model] = 3;
+    servers.catalogue.serverWeights["s0@0/m"] = {"s0@0", model, 1, true};
+    std::size_t orders = 0;
+    SUBCASE("the server has loaded the new version and is listed with it")
+    {
+        servers.listed[0].weights[model] = 3;
+    }
+    SUBCASE("the server has loaded the new version and is not listed with it yet")
+    {
+        servers.versions["s0@0"] = 3;
+        servers.orders["s0@0"] = 1;
+    }
+    SUBCASE("the server was not ordered yet")
+    {
+        orders = 1;
+    }
+    Rollout rollout;
+    const RolloutTimes times;
+    for (int ms = 0; ms < 1'000; ms += 50)
+        servers.applyStep(rollout,
+                          nextStep(rollout, servers.listed, servers.catalogue, times, at(ms)),
+                          times, at(ms));
+    CHECK(servers.loading() == 0);
+    CHECK(servers.catalogue.serverWeights.at("s0@0/m").version == 3);
+    CHECK(servers.ordersSent == orders);
+    CHECK(rollout.servers.empty());
+}
+
+TEST_CASE("servers that were recorded as loading count towards those that may load at a time")
+{
+    Servers servers(9, 1);
+    servers.catalogue.weights[model] = 2;
+    for (const char *it : {"s6@0", "s7@0", "s8@0"})
+        servers.catalogue.serverWeights[std::string(it) + "/m"] = {it, model, 1, true};
+    Rollout rollout;
+    const RolloutTimes times;
+    std::size_t maxLoadingSeen = 0;
+    for (int ms = 0; ms < 10'000 && servers.versions.size() < 9; ms += 50) {
+        servers.applyStep(rollout,
+                          nextStep(rollout, servers.listed, servers.catalogue, times, at(ms)),
+                          times, at(ms));
+        maxLoadingSeen = std::max(maxLoadingSeen, servers.loading());
+    }
+    CHECK(servers.versions.size() == 9);
+    CHECK(maxLoadingSeen == maxLoading(9));
+}
+
+// Guards against a record that is lost because the leadership ended before it was committed.
+TEST_CASE("the end of a rollout is proposed until the catalogue has it")
+{
+    Servers servers(1, 1);
+    servers.catalogue.weights[model] = 2;
+    Rollout rollout;
+    const RolloutTimes times;
+    std::size_t lost = 0;
+    for (int ms = 0; ms < 4'000; ms += 50) {
+        RolloutStep step = nextStep(rollout, servers.listed, servers.catalogue, times, at(ms));
+        const bool isEnd = !step.records.empty() && !step.records[0].isLoading;
+        if (isEnd && ++lost <= 3) {
+            step.records.clear();
+            // By then the list has the new version.
+            servers.listed[0].weights[model] = 2;
+        }
+        servers.applyStep(rollout, step, times, at(ms));
+    }
+    CHECK(lost == 4);
+    CHECK(servers.loading() == 0);
+    CHECK(servers.ordersSent == 1);
+}
+
+// Guards against a rollout that replaces the one of another model on the same server.
+TEST_CASE("the models of a server are rolled out one after the other")
+{
+    Servers servers(1, 1);
+    servers.listed[0].weights["n"] = 1;
+    servers.catalogue.weights = {{model, 2}, {"n", 2}};
+    std::map<std::string, std::uint64_t> versions{{model, 1}, {"n", 1}};
+    Rollout rollout;
+    const RolloutTimes times;
+    std::size_t orders = 0;
+    for (int ms = 0; ms < 4'000; ms += 50) {
+        const RolloutStep step =
+            nextStep(rollout, servers.listed, servers.catalogue, times, at(ms));
+        for (const catalogue::ServerWeights &it : step.records)
+            servers.catalogue.serverWeights[it.server + "/" + it.model] = it;
+        CHECK(servers.loading() <= 1);
+        for (const RolloutCall &it : step.calls) {
+            RolloutAnswer answer{startIdOf(it.server), it.kind, std::nullopt, std::nullopt};
+            if (it.kind == RolloutCall::Kind::Report) {
+                answer.report.emplace();
+                answer.report->weights = versions;
+            } else {
+                ++orders;
+                versions[it.model] = it.version;
+                answer.order = OrderAnswer::Accepted;
+            }
+            handleAnswer(rollout, answer, times, at(ms));
+        }
+    }
+    CHECK(versions == std::map<std::string, std::uint64_t>{{model, 2}, {"n", 2}});
+    CHECK(servers.loading() == 0);
+    CHECK(orders == 2);
+}
