Gateway: an event that does not end costs a bounded buffer

What could happen: on a route whose streams may be resumed, events are held back until they are complete.

Cause: the buffer of the incomplete event had no bound. The bound on unparsed bytes covers heads, lines before chunks and trailers, and answers that are not streams are forwarded beyond 256 KiB.

Change: an event over 256 KiB, the bound of other buffered answers, is a malformed answer: the stream is resumed at another server, or cut. A line is searched for its end once, not again with each piece that arrives.

Elsewhere: the native interface ends an event over 1 MiB and a body over maxBodyBytes (upstreamattempt.cpp); control's calls and the list have bounds of 4 MiB a page; the store's connection carries no answers.

Evidence: exchangetest.cpp sent 20 MB into one event without the bound, and the caller got no rest of its stream; with it the rest comes from the other server. platform_interrupted.py: with the programs of before the request was held to its time limit (504), now 502 at once, under 10 MB more memory.

--- a/lib/gateway/eventframer.cpp
+++ b/lib/gateway/eventframer.cpp
@@ -4,39 +4,27 @@
 
 namespace kumquathaven::gateway {
 
-namespace {
-
-/// Returns the length of the first event including the blank line that ends it, or zero if the
-/// event is incomplete.
-std::size_t firstEventLength(std::string_view bytes)
-{
-    std::size_t lineStart = 0;
-    while (lineStart < bytes.size()) {
-        const std::size_t lineEnd = bytes.find('\n', lineStart);
-        if (lineEnd == std::string_view::npos)
-            return 0;
-        const std::string_view line = bytes.substr(lineStart, lineEnd - lineStart);
-        if (line.empty() || line == "\r")
-            return lineEnd + 1;
-        lineStart = lineEnd + 1;
-    }
-    return 0;
-}
-
-} // namespace
-
 std::string EventFramer::feed(std::string_view bytes)
 {
     m_partial.append(bytes);
     std::size_t completeLength = 0;
-    while (const std::size_t n =
-               firstEventLength(std::string_view(m_partial).substr(completeLength))) {
-        readId(std::string_view(m_partial).substr(completeLength, n));
+    for (std::size_t lineEnd = m_partial.find('\n', m_searched); lineEnd != std::string::npos;
+         lineEnd = m_partial.find('\n', m_searched)) {
+        const std::string_view line =
+            std::string_view(m_partial).substr(m_lineStart, lineEnd - m_lineStart);
+        m_lineStart = lineEnd + 1;
+        m_searched = m_lineStart;
+        // An empty line ends an event.
+        if (!line.empty() && line != "\r")
+            continue;
+        readId(std::string_view(m_partial).substr(completeLength, m_lineStart - completeLength));
         m_hasEvents = true;
-        completeLength += n;
+        completeLength = m_lineStart;
     }
     std::string events = m_partial.substr(0, completeLength);
     m_partial.erase(0, completeLength);
+    m_lineStart -= completeLength;
+    m_searched = m_partial.size();
     return events;
 }
 
@@ -60,6 +48,8 @@
 
 std::string EventFramer::takePartial()
 {
+    m_lineStart = 0;
+    m_searched = 0;
     return std::exchange(m_partial, {});
 }
 
--- a/lib/gateway/exchangeanswer.cpp
+++ b/lib/gateway/exchangeanswer.cpp
@@ -100,10 +100,13 @@
     const bool isEvents = isStream() && m_answerHead->status == statusOk;
     if (isEvents)
         recordServerPause(monotonicNow());
-    if (isEvents && m_route->resumable)
-        forward(m_eventFramer.feed(bytes));
-    else
+    if (!isEvents || !m_route->resumable) {
         forward(std::string(bytes));
+        return;
+    }
+    forward(m_eventFramer.feed(bytes));
+    if (m_eventFramer.isTooLong())
+        handleFailure(CallFailure::Malformed);
 }
 
 void Exchange::forward(std::string bytes)
--- a/test/system/platform_interrupted.py
+++ b/test/system/platform_interrupted.py
@@ -2,11 +2,13 @@
 
 import json
 import socket
+import time
 import unittest
 
 from control_common import wait_for
 from platform_common import MODEL, Installation, plan
 from platform_standin import Server
+from platform_trouble import memory_of, send_until_closed
 
 
 def read_until_closed(connection, seconds=8):
@@ -60,6 +62,26 @@
         self.assertEqual(received.count(b"HTTP/1.1"), 1, received)
         self.assertNotIn(b"0\r\n\r\n", received)
 
+    # Guards against a buffer that grows for as long as a faulty server sends.
+    def test_an_event_without_an_end_is_cut_off_with_bounded_memory(self):
+        self.start()
+        closed = []
+
+        def flood(handler, _server):
+            handler.connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: %s\r\n"
+                                       b"Transfer-Encoding: chunked\r\n\r\n" % handler.headers["X-Request-Id"].encode())
+            closed.append(send_until_closed(handler, b"2000\r\n" + b"x" * 8192 + b"\r\n"))
+            return True
+        for it in self.it.servers[2:]:
+            it.trick = flood
+        before = memory_of(self.it.entries[1].process)
+        begun = time.monotonic()
+        received = read_until_closed(self.send("POST", "/ask/x", "s1", Connection="close", **MODEL))
+        self.assertEqual(received[9:12], b"502")
+        self.assertLess(time.monotonic() - begun, 2, "the request is held although both servers were given up")
+        wait_for(lambda: len(closed) == 2 and None not in closed, 3, "a connection is not closed")
+        self.assertLess(memory_of(self.it.entries[1].process) - before, 10)
+
 
 class Rollouts(Interrupted):
 
--- a/unittests/gateway/exchangetest.cpp
+++ b/unittests/gateway/exchangetest.cpp
@@ -2,6 +2,8 @@
 
 #include "exchangefixture.h"
 
+#include "eventframer.h"
+
 #include <doctest/doctest.h>
 
 using namespace gatewaytest;
@@ -92,3 +94,34 @@
     CHECK(t.engines[0]->requests.size() == 1);
     CHECK(t.engines[1]->requests.empty());
 }
+
+// Guards against a buffer that grows for as long as a faulty server sends.
+TEST_CASE("a stream with an event that does not end is resumed elsewhere with bounded memory")
+{
+    ExchangeFixture t;
+    Peer *flooding = nullptr;
+    for (const auto &it : t.engines)
+        it->answer = [&](Peer &peer, const std::string &request) {
+            peer.send(streamHead(fieldOf(request, "Id")));
+            if (!fieldOf(request, "Resume").empty()) {
+                peer.send(streamEvent(2) + "0\r\n\r\n");
+                return;
+            }
+            peer.send(streamEvent(1));
+            flooding = &peer;
+        };
+    Peer &caller = t.connect();
+    caller.send(ExchangeFixture::request("ask", "r1"));
+    const std::string piece = http::chunk(std::string(16'000, 'x'));
+    std::size_t sent = 0;
+    REQUIRE(t.runUntil([&] {
+        if (flooding != nullptr && !flooding->hasEnded)
+            sent += flooding->send(piece);
+        return caller.received.find("0\r\n\r\n") != std::string::npos || sent > 20'000'000;
+    }));
+    CHECK(countOf(caller.received, "piece ") == 2);
+    CHECK(caller.received.find("xxx") == std::string::npos);
+    // Besides the event only the buffers of the two sockets were filled.
+    CHECK(sent < maxEventBytes + 8'000'000);
+    CHECK(flooding->hasEnded);
+}
