Gateway: a request without an id uses no kept connection

What could happen: a faulty server writes an answer, such as an earlier refusal, once more on a kept connection. The answer to the next request on that connection is told apart by its request id.

Cause: whether a connection may be used again depended on the kind of the request alone.

Change: only a request with an id takes a kept connection, and only such a request leaves one. The reader of the platform's list, whose requests have no id, therefore connects for each page; it reads about once a second, on one instance.

Elsewhere: requests that may run only once always had a new connection; with an id, a copy with another id is skipped and one without an id makes the attempt fail with an unknown outcome (held before and now). The connection of a refused attempt is closed. The native interface and control's calls use a connection for one request.

Evidence: exchangetest.cpp plays the copy with and without ids, for requests that may and may not be repeated.

--- a/lib/gateway/serverlist.cpp
+++ b/lib/gateway/serverlist.cpp
@@ -19,7 +19,6 @@
 constexpr std::uint32_t maxPages = 400;
 /// A page of the list has some tens of kilobytes.
 constexpr std::uint64_t maxPageBytes = std::uint64_t{4} * 1024 * 1024;
-constexpr const char *connectionName = "list";
 
 } // namespace
 
@@ -72,8 +71,6 @@
     m_status = 0;
     CallRequest request;
     request.address = m_gateway.settings.platform->serverList;
-    request.start = connectionName;
-    request.mayReuse = true;
     request.maxBodyBytes = maxPageBytes;
     request.bytes = http::requestHead("GET", m_gateway.dialect.servers.listPath(m_page),
                                       {{"Host", settings::toString(request.address)}});
@@ -88,16 +85,11 @@
         m_call.reset();
         handlePage();
     };
-    events.failed = [this](CallFailure failure) {
+    events.failed = [this](CallFailure) {
         m_call.reset();
-        // A kept connection that the platform closed is no failure; the page is requested again on
-        // another connection.
-        if (failure == CallFailure::StaleConnection)
-            requestPage();
-        else
-            failed("the call to the platform failed");
+        failed("the call to the platform failed");
     };
-    m_call = std::make_shared<UpstreamCall>(m_gateway.loop, m_pool,
+    m_call = std::make_shared<UpstreamCall>(m_gateway.loop, m_gateway.pool,
                                             m_gateway.dialect.requests.readAnswer);
     const auto call = m_call;
     call->start(std::move(request), std::move(events), now);
--- a/lib/gateway/serverlist.h
+++ b/lib/gateway/serverlist.h
@@ -40,7 +40,6 @@
 
     Gateway &m_gateway;
     std::function<void(const std::vector<deployment::ListedServer> &)> m_onList;
-    UpstreamPool m_pool;
     std::shared_ptr<UpstreamCall> m_call;
     TimePoint m_nextReadAt{};
     TimePoint m_requestedAt{};
--- a/lib/gateway/upstreamcall.cpp
+++ b/lib/gateway/upstreamcall.cpp
@@ -32,7 +32,8 @@
     m_request = std::move(request);
     m_events = std::move(events);
     startParser();
-    if (m_request.mayReuse)
+    // A late second copy of an earlier answer is told apart by the id of its request only.
+    if (m_request.mayReuse && !m_request.requestId.empty())
         m_connection = m_pool.take(m_request.start, now);
     if (m_connection) {
         m_isReused = true;
@@ -169,9 +170,9 @@
 void UpstreamCall::finish()
 {
     const auto done = m_events.done;
-    const bool isReusable = m_parser->head().keepsAlive && !m_parser->head().endsWithConnection
-        && m_parser->takeRest().empty() && m_connection->queuedBytes() == 0
-        && m_connection->isOpen() && !m_isPaused;
+    const bool isReusable = !m_request.requestId.empty() && m_parser->head().keepsAlive
+        && !m_parser->head().endsWithConnection && m_parser->takeRest().empty()
+        && m_connection->queuedBytes() == 0 && m_connection->isOpen() && !m_isPaused;
     const Duration serverKeepTime = m_answer.keepAlive.value_or(defaultKeepTime * keepAliveDivisor);
     const Duration keepTime = std::min(serverKeepTime / keepAliveDivisor, maxKeepTime);
     const std::shared_ptr<http::Connection> connection = m_connection;
--- a/lib/gateway/upstreamcall.h
+++ b/lib/gateway/upstreamcall.h
@@ -42,9 +42,10 @@
     std::string bytes;
     /// Whether the answer has no body, as for HEAD.
     bool isHead = false;
-    /// Answers with another request id are skipped.
+    /// Answers with another request id are skipped. Without an id an answer cannot be matched to
+    /// the request, so that no connection is reused.
     std::string requestId;
-    /// Whether an idle connection may be reused.
+    /// Whether an idle connection may be reused if there is a request id.
     bool mayReuse = false;
     Duration connectTimeout = std::chrono::milliseconds(300);
     /// A longer body is malformed.
--- a/unittests/gateway/exchangetest.cpp
+++ b/unittests/gateway/exchangetest.cpp
@@ -21,6 +21,32 @@
         };
 }
 
+/// Sends two requests to a server that repeats an earlier refusal, \p copy, before its second
+/// answer on a connection. Returns the status that the second request's caller gets.
+std::string statusBesideCopy(const std::string &copy, const std::string &route, bool haveIds)
+{
+    ExchangeFixture t(1);
+    const Peer *first = nullptr;
+    t.apps[0]->answer = [&](Peer &peer, const std::string &request) {
+        const std::string id = fieldOf(request, "Id");
+        peer.send((first == &peer ? copy : std::string())
+                  + wholeAnswer(200, id.empty() ? "" : "Id: " + id + "\r\n", "whole"));
+        if (first == nullptr)
+            first = &peer;
+    };
+    Peer &caller = t.connect();
+    for (const std::string id : {"r1", "r2"}) {
+        caller.received.clear();
+        caller.send(
+            ExchangeFixture::request(id == "r1" ? "read" : route, haveIds ? id : std::string()));
+        REQUIRE(t.runUntil([&] {
+            return caller.received.find("\r\n\r\n") != std::string::npos;
+        }));
+    }
+    CHECK(countOf(caller.received, "HTTP/1.1") == 1);
+    return caller.received.substr(std::string("HTTP/1.1 ").size(), 3);
+}
+
 } // namespace
 
 // Guards against an answer of the entry inside a stream of a server.
@@ -125,3 +151,18 @@
     CHECK(sent < maxEventBytes + 8'000'000);
     CHECK(flooding->hasEnded);
 }
+
+// Guards against an answer of an earlier request on a kept connection.
+TEST_CASE("a refusal that a server repeats on a kept connection answers no other request")
+{
+    const std::string withId = wholeAnswer(503, "Id: r0\r\nNot-Run: 1\r\n", "");
+    const std::string withoutId = wholeAnswer(503, "Not-Run: 1\r\n", "");
+    for (const std::string route : {"read", "write"}) {
+        CAPTURE(route);
+        CHECK(statusBesideCopy(withId, route, true) == "200");
+        CHECK(statusBesideCopy(withId, route, false) == "200");
+        CHECK(statusBesideCopy(withoutId, route, false) == "200");
+        // Nothing is known of an answer without an id where the server got one.
+        CHECK(statusBesideCopy(withoutId, route, true) == (route == "read" ? "502" : "200"));
+    }
+}
