Entry: nothing of a second run is added to a plain stream that has begun

And an error after a streamed answer had begun ended that stream as if it were complete: the library refused the second head and then wrote the last chunk.

Cause: streams of completions can be compared and continued, others cannot, but both counted as cut and went through the same recovery, whose state nothing had filled. HttpExchange::reply() did not look at what was written.

Change: RelaySink hands nothing over once a further attempt follows a plain stream that has begun, and such an attempt is not made. reply() after the start of an answer closes the connection.

--- a/include/kumquathaven/runtime/httpserver.h
+++ b/include/kumquathaven/runtime/httpserver.h
@@ -23,7 +23,8 @@
 
     /// The whole request, its body included.
     virtual const HttpRequest &request() const = 0;
-    /// Sends a whole answer. Returns false if the caller has gone.
+    /// Sends a whole answer. Returns false if the caller has gone. If an answer has started
+    /// already, cuts that one and returns false.
     virtual bool reply(const HttpReply &reply) = 0;
     /// Begins an answer of unknown length.
     virtual bool startStream(int status, const std::string &contentType,
--- a/lib/entry/relaysink.cpp
+++ b/lib/entry/relaysink.cpp
@@ -13,7 +13,7 @@
 {
     m_attemptBegun = true;
     if (m_callerBegun)
-        return true;
+        return !m_isClosed;
     m_callerBegun = true;
     m_callerGone = !m_caller.begin(contentType, headers);
     return !m_callerGone;
@@ -22,7 +22,7 @@
 bool RelaySink::events(const std::string &bytes)
 {
     if (!m_isCompletion)
-        return m_caller.events(bytes);
+        return !m_isClosed && m_caller.events(bytes);
     const answers::RelayOutput output = answers::feed(m_relay, bytes);
     hand(output.events);
     return !m_callerGone && output.fault == answers::StreamFault::None;
@@ -43,6 +43,7 @@
                             const std::string &weightsVersion)
 {
     m_attemptBegun = false;
+    m_isClosed = !canContinue();
     answers::startAttempt(m_relay, recovery, attemptId, weightsVersion);
 }
 
--- a/lib/entry/relaysink.h
+++ b/lib/entry/relaysink.h
@@ -26,6 +26,9 @@
 
     /// Returns whether the caller has a part of a completion stream.
     bool streams() const { return m_callerBegun && m_isCompletion; }
+    /// Returns whether another attempt may hand over an answer. A stream that is not one of
+    /// completion chunks cannot be continued, since two runs of it cannot be compared.
+    bool canContinue() const { return !m_callerBegun || m_isCompletion; }
     /// Returns the relay, for the decisions after an attempt.
     answers::Relay &relay() { return m_relay; }
     /// Starts the next attempt.
@@ -40,6 +43,9 @@
     bool m_isCompletion;
     bool m_callerBegun = false;
     bool m_attemptBegun = false;
+    /// Whether a further attempt follows one that handed over a part of a stream that cannot be
+    /// continued. Nothing of that attempt reaches the caller.
+    bool m_isClosed = false;
     bool m_callerGone = false;
 };
 
--- a/lib/entry/upstreamstep.cpp
+++ b/lib/entry/upstreamstep.cpp
@@ -248,7 +248,9 @@
         }
         if (report.error && report.error->outcome != Outcome::NotRun)
             worst = Outcome::Unknown;
-        if (report.end != AttemptEnd::Cut && !mayTryAgain(passage.request, report))
+        const bool isOver = report.end == AttemptEnd::Cut ? !relay.canContinue()
+                                                          : !mayTryAgain(passage.request, report);
+        if (isOver)
             break;
     }
     // A later attempt that did not run says nothing about an earlier one that may have.
--- a/lib/runtime/pocoexchange.cpp
+++ b/lib/runtime/pocoexchange.cpp
@@ -51,6 +51,11 @@
 
 bool PocoExchange::reply(const HttpReply &reply)
 {
+    // The caller would take a second head for a part of the answer that has started.
+    if (hasReplied()) {
+        abandon();
+        return false;
+    }
     setHead(reply.status, reply.contentType, reply.headers);
     try {
         m_response.setContentLength64(static_cast<Poco::Int64>(reply.body.size()));
--- a/unittests/runtime/httptest.cpp
+++ b/unittests/runtime/httptest.cpp
@@ -242,3 +242,26 @@
     }
     CHECK(received == 0);
 }
+
+// Guards against an error in the middle of a streamed answer.
+TEST_CASE("a second answer cuts the first one, which does not look complete")
+{
+    Fixture fixture([](HttpExchange &exchange) {
+        exchange.startStream(200, "text/event-stream", {});
+        exchange.write("one");
+        CHECK_FALSE(exchange.reply({502, "text/plain", {}, "two"}));
+    });
+    Poco::Net::StreamSocket socket(
+        Poco::Net::SocketAddress(fixture.address.host, fixture.address.port));
+    socket.setReceiveTimeout(Poco::Timespan(5, 0));
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    socket.sendBytes(request.data(), static_cast<int>(request.size()));
+    std::string received;
+    char buf[1024];
+    for (int n = socket.receiveBytes(buf, sizeof(buf)); n > 0;
+         n = socket.receiveBytes(buf, sizeof(buf)))
+        received.append(buf, static_cast<std::size_t>(n));
+    CHECK(received.find("one") != std::string::npos);
+    CHECK(received.find("two") == std::string::npos);
+    CHECK(received.find("0\r\n\r\n") == std::string::npos);
+}
