Runtime: a server that stops cuts no request that it has begun to handle

Cause: during the drain, connections were kept and new requests on them were handled, so that callers that go on sending kept the server busy until the end of the drain. And a request could arrive between the moment when none ran and the end of the connections.

Change: while the server stops, each answer closes its connection. The check that no request runs and the refusal of later ones are one step under a lock; what arrives then is answered 503 and has not run.

Evidence: httptest.cpp plays six callers that go on sending over a stop with a drain of 2 s.

--- a/include/kumquathaven/runtime/httpserver.h
+++ b/include/kumquathaven/runtime/httpserver.h
@@ -65,7 +65,8 @@
     /// Listens on an address. Fails with Unavailable if the address is taken.
     Result<void> start(const settings::Address &address);
 
-    /// Takes no more connections and waits up to \p drain for requests that run, then cuts them.
+    /// Accepts no more connections, ends the open ones with their next answers, and waits up to \p
+    /// drain for the requests that run, then cuts them. Requests that arrive later are refused.
     void stop(Duration drain);
 
     /// Requests that are being answered.
--- a/lib/runtime/httpserver.cpp
+++ b/lib/runtime/httpserver.cpp
@@ -14,6 +14,7 @@
 #include <Poco/ThreadPool.h>
 
 #include <atomic>
+#include <mutex>
 #include <thread>
 
 namespace kumquathaven::runtime {
@@ -25,19 +26,67 @@
 constexpr int threadStackBytes = 512 * 1024;
 constexpr int listenBacklog = 256;
 constexpr Duration drainPollInterval = std::chrono::milliseconds(20);
+constexpr Duration stoppedRetryAfter = std::chrono::seconds(1);
 
 Poco::Timespan timespan(Duration d)
 {
     return {static_cast<Poco::Timespan::TimeDiff>(d.count())};
 }
 
+// Counts the requests that are being answered. No request passes once it is closed, so that a
+// server that found none running can end its connections without cutting an answer.
+class RequestGate
+{
+public:
+    // Returns whether the request may be answered. If so, leave() must follow.
+    bool enter()
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_active += m_isClosed ? 0 : 1;
+        return !m_isClosed;
+    }
+
+    void leave()
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        --m_active;
+    }
+
+    // Closes the gate if no request is being answered. Returns whether it is closed.
+    bool closeIfIdle()
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_isClosed = m_isClosed || m_active == 0;
+        return m_isClosed;
+    }
+
+    void close()
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_isClosed = true;
+    }
+
+    std::uint32_t active() const
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        return m_active;
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    std::uint32_t m_active = 0;
+    bool m_isClosed = false;
+};
+
 // Everything that the threads of one server share.
 struct Shared
 {
     ServerBounds bounds;
     HttpHandler handler;
     ConnectionGuard guard;
-    std::atomic<std::uint32_t> active{0};
+    RequestGate gate;
+    // Set while the server stops: each connection then ends with its next answer.
+    std::atomic<bool> isStopping{false};
 
     Shared(ServerBounds b, HttpHandler h)
         : bounds(b)
@@ -55,9 +104,14 @@
 
     void handleRequest(net::HTTPServerRequest &request, net::HTTPServerResponse &response) override
     {
-        ++m_shared.active;
-        answer(static_cast<net::HTTPServerRequestImpl &>(request), response);
-        --m_shared.active;
+        if (m_shared.isStopping)
+            response.setKeepAlive(false);
+        if (m_shared.gate.enter()) {
+            answer(static_cast<net::HTTPServerRequestImpl &>(request), response);
+            m_shared.gate.leave();
+        } else {
+            refuse(static_cast<net::HTTPServerRequestImpl &>(request), response);
+        }
         waitForNext(static_cast<net::HTTPServerRequestImpl &>(request), response);
     }
 
@@ -74,6 +128,26 @@
         }
     }
 
+    // Answers a request that arrives when the server has stopped.
+    void refuse(net::HTTPServerRequestImpl &request, net::HTTPServerResponse &response)
+    {
+        PocoExchange exchange(request, response);
+        try {
+            if (const auto error = exchange.readBody(m_shared.bounds)) {
+                exchange.reply(errorReply(*error));
+                return;
+            }
+            exchange.reply(errorReply({ErrorCode::Unavailable,
+                                       "http.accept",
+                                       {},
+                                       "the instance ends",
+                                       Outcome::NotRun,
+                                       stoppedRetryAfter}));
+        } catch (const Poco::Exception &) {
+            // The caller has closed the connection.
+        }
+    }
+
     void answer(net::HTTPServerRequestImpl &request, net::HTTPServerResponse &response)
     {
         PocoExchange exchange(request, response);
@@ -203,10 +277,12 @@
 {
     if (!m_impl->server)
         return;
+    m_impl->shared.isStopping = true;
     m_impl->server->stop();
     const TimePoint deadline = monotonicNow() + drain;
-    while (activeRequests() > 0 && monotonicNow() < deadline)
+    while (!m_impl->shared.gate.closeIfIdle() && monotonicNow() < deadline)
         std::this_thread::sleep_for(drainPollInterval);
+    m_impl->shared.gate.close();
     m_impl->server->stopAll(true);
     m_impl->threads->joinAll();
     m_impl->server.reset();
@@ -214,7 +290,7 @@
 
 std::uint32_t HttpServer::activeRequests() const
 {
-    return m_impl->shared.active;
+    return m_impl->shared.gate.active();
 }
 
 } // namespace kumquathaven::runtime
--- a/unittests/runtime/httptest.cpp
+++ b/unittests/runtime/httptest.cpp
@@ -5,10 +5,12 @@
 #include <Poco/Net/StreamSocket.h>
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace kumquathaven;
 using namespace kumquathaven::runtime;
@@ -265,3 +267,49 @@
     CHECK(received.find("two") == std::string::npos);
     CHECK(received.find("0\r\n\r\n") == std::string::npos);
 }
+
+// Guards against requests that are handled and then cut when the server stops.
+TEST_CASE("a server that stops cuts no request that it handles, on connections that stay in use")
+{
+    std::atomic<int> handled{0};
+    std::atomic<int> answered{0};
+    std::atomic<bool> isOver{false};
+    Fixture fixture([&](HttpExchange &exchange) {
+        ++handled;
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        echo(exchange);
+    });
+    std::vector<std::thread> callers;
+    for (int n = 0; n < 6; ++n)
+        callers.emplace_back([&] {
+            const std::string request = "GET /p?a=1 HTTP/1.1\r\nHost: a\r\n\r\n";
+            // Uses a connection for as long as the server keeps it, then another one.
+            while (!isOver) {
+                try {
+                    Poco::Net::StreamSocket socket(
+                        Poco::Net::SocketAddress(fixture.address.host, fixture.address.port));
+                    socket.setReceiveTimeout(Poco::Timespan(5, 0));
+                    bool isOpen = true;
+                    while (isOpen) {
+                        socket.sendBytes(request.data(), static_cast<int>(request.size()));
+                        char buf[1024];
+                        const int got = socket.receiveBytes(buf, sizeof(buf));
+                        const std::string text(buf, static_cast<std::size_t>(std::max(0, got)));
+                        answered += text.find(" 200 ") != std::string::npos ? 1 : 0;
+                        isOpen = got > 0 && text.find("Connection: Close") == std::string::npos;
+                    }
+                } catch (const Poco::Exception &) {
+                    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+                }
+            }
+        });
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    const TimePoint begun = monotonicNow();
+    fixture.server.stop(std::chrono::seconds(2));
+    CHECK(monotonicNow() - begun < std::chrono::seconds(1));
+    isOver = true;
+    for (std::thread &it : callers)
+        it.join();
+    CHECK(handled > 12);
+    CHECK(answered == handled);
+}
