Gateway: a leaving entry answers what it has passed on before it ends

What callers saw in a planned stop (report of other operators, shown here with a grace period of 3 s): requests that came late in the grace period were taken and passed on, and at its end their connections were closed without an answer, also those of requests that may not be repeated.

Cause: requests were accepted for 2.8 s, or almost to the end of a shorter grace period, whatever time their answers might take. At the end all connections were closed.

A request that may run only once and is no stream is accepted only if its deadline is before the last answers. Shortly before the end, each request that still runs is answered with what is known (502, or 503 where it has not run) or its stream is cut, and the process ends when these answers have been sent. A stop without requests ends as before, but for answers that are still being sent.

--- a/lib/gateway/callerconnection.cpp
+++ b/lib/gateway/callerconnection.cpp
@@ -148,7 +148,7 @@
 runtime::HeaderFields CallerConnection::framingFields(std::uint64_t length) const
 {
     runtime::HeaderFields fields{{"Content-Length", std::to_string(length)}};
-    if (!m_keepsAlive || m_gateway.isDraining)
+    if (!m_keepsAlive || m_gateway.leaving)
         fields.emplace_back("Connection", "close");
     return fields;
 }
@@ -196,7 +196,7 @@
         fields.emplace_back("Transfer-Encoding", "chunked");
     else
         m_keepsAlive = false;
-    if (!m_keepsAlive || m_gateway.isDraining)
+    if (!m_keepsAlive || m_gateway.leaving)
         fields.emplace_back("Connection", "close");
     // The head is sent together with the first bytes of the body.
     m_pendingOutput += http::answerHead(head.status, head.reason, fields);
@@ -240,7 +240,7 @@
     m_exchange.reset();
     m_isChunked = false;
     m_hasAnswerStarted = false;
-    if (!m_keepsAlive || m_gateway.isDraining) {
+    if (!m_keepsAlive || m_gateway.leaving) {
         m_isClosed = true;
         m_connection->closeAfterWrites();
         return;
@@ -256,9 +256,11 @@
         });
 }
 
-bool CallerConnection::isIdle() const
+void CallerConnection::instanceEnds()
 {
-    return !m_exchange && !m_parser && m_pendingInput.empty();
+    // The exchange resets m_exchange when it ends.
+    if (const std::shared_ptr<Exchange> exchange = m_exchange)
+        exchange->instanceEnds();
 }
 
 bool CallerConnection::checkTimeouts(TimePoint now)
--- a/lib/gateway/callerconnection.h
+++ b/lib/gateway/callerconnection.h
@@ -47,8 +47,10 @@
     /// arrive in time with an error. Returns whether the connection is still open.
     bool checkTimeouts(TimePoint now);
 
-    /// Returns whether no request is being read or answered.
-    bool isIdle() const;
+    /// Called shortly before this instance ends. Answers the current request with an error if its
+    /// answer is not complete.
+    void instanceEnds();
+
     void close();
 
 private:
--- a/lib/gateway/exchange.cpp
+++ b/lib/gateway/exchange.cpp
@@ -70,8 +70,6 @@
 Result<void> Exchange::identify()
 {
     m_plan = m_gateway.plan;
-    if (!m_gateway.acceptsRequests)
-        return fail(refusal(ErrorCode::Unavailable, "this entry is leaving", leavingRetryAfter));
     if (!m_plan)
         return fail(
             refusal(ErrorCode::Unavailable, "no configuration received yet", noPlanRetryAfter));
@@ -88,6 +86,9 @@
     if (m_callerHead.timeout)
         wait = std::min(wait, *m_callerHead.timeout);
     m_deadline = m_arrivedAt + std::min(wait, maxWait);
+    const auto &leaving = m_gateway.leaving;
+    if (leaving && !acceptsWhileLeaving(*leaving, *m_route, m_deadline, m_arrivedAt))
+        return fail(refusal(ErrorCode::Unavailable, "this entry is leaving", leavingRetryAfter));
     if (m_callerHead.hasTokenCounts)
         m_tokens = m_callerHead.promptTokens + m_callerHead.maxOutputTokens;
     else if (m_customer != nullptr)
@@ -140,6 +141,19 @@
     close(telemetry::LogLevel::Info, "caller disconnected");
 }
 
+void Exchange::instanceEnds()
+{
+    if (m_isFinished)
+        return;
+    endAttempt(AttemptEnd::Abandoned);
+    endWithError({ErrorCode::Unavailable,
+                  "gateway.leave",
+                  {},
+                  "this entry ends before the answer is complete",
+                  m_outcome,
+                  leavingRetryAfter});
+}
+
 /// Ends the exchange without a complete answer of a server. Every failure of a request ends here,
 /// so that no answer of this instance follows the head of a server's answer.
 void Exchange::endWithError(const Error &error)
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -38,6 +38,10 @@
     /// Called when the caller closed its connection. Ends the running attempt.
     void callerDisconnected();
 
+    /// Called shortly before this instance ends. Answers the caller with an error, unless the
+    /// exchange is finished.
+    void instanceEnds();
+
     /// Called when the output that was queued for the caller has been sent. Resumes reading from
     /// the server.
     void callerDrained();
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "kumquathaven/deployment/plan.h"
 #include "kumquathaven/settings/settings.h"
 #include "kumquathaven/telemetry/metrics.h"
+#include "leaving.h"
 #include "overload.h"
 #include "retrybudget.h"
 #include "servers.h"
@@ -20,6 +21,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace kumquathaven::gateway {
@@ -100,10 +102,10 @@
     RetryRules retryRules;
     /// Recent shares of refused requests by service.
     std::map<std::string, RefusalRate> refusalRates;
-    /// Set while the process is about to end: answers ask callers to close their connections.
-    bool isDraining = false;
-    /// False once new requests are refused at once, so that their callers turn to other entries.
-    bool acceptsRequests = true;
+    /// Set while the entry leaves: answers ask callers to close their connections, and requests
+    /// that are not accepted any more are refused at once, so that their callers turn to other
+    /// entries.
+    std::optional<Leaving> leaving;
     RequestCounters counters;
     StateGauges gauges;
     /// Number of requests that are not answered yet.
--- a/lib/gateway/gatewayrole.cpp
+++ b/lib/gateway/gatewayrole.cpp
@@ -28,14 +28,9 @@
 
 constexpr Duration tickInterval = std::chrono::milliseconds(30);
 constexpr Duration sweepInterval = std::chrono::milliseconds(250);
-/// Minimum time for which a leaving entry accepts requests, since callers cache the names of
-/// entries for a few seconds. Requests accepted in that time still finish within the grace period.
-constexpr Duration minLeavingTime = std::chrono::milliseconds(2800);
 /// Time between the end of accepting connections and the end of the loop. Requests that arrive on
 /// open connections in that time are answered.
 constexpr Duration lingerTime = std::chrono::milliseconds(300);
-/// The process ends this long before the platform would kill it.
-constexpr Duration graceMargin = std::chrono::milliseconds(400);
 constexpr Duration leavingPoll = std::chrono::milliseconds(100);
 constexpr std::uint32_t probeThreads = 4;
 constexpr int exitAfterFailure = 1;
@@ -64,7 +59,8 @@
     void updateGauges(TimePoint now);
     void announce(catalogue::InstanceState state);
     void answerProbe(runtime::HttpExchange &exchange);
-    void endLoop(bool isForced);
+    void continueLeaving();
+    void endLoop();
 
     const settings::Settings settings;
     telemetry::Metrics metrics;
@@ -203,7 +199,6 @@
     applyView(now);
     peers.tick(now);
     stores.tick(now);
-    gateway.isDraining = isDraining;
     running = gateway.running;
     isReady = gateway.plan != nullptr && gateway.servers.listReadAt != TimePoint{} && !isDraining;
     if (now < nextSweep)
@@ -294,43 +289,50 @@
     }
 }
 
-/// Ends the loop if no request runs, or unconditionally if \p isForced is set. The decision is made
-/// on the loop itself, since a request may be accepted at any moment before.
-void GatewayRole::Impl::endLoop(bool isForced)
+/// Takes the next step of leaving. Called on the loop, since a request may be accepted at any
+/// moment before.
+void GatewayRole::Impl::continueLeaving()
 {
-    boost::asio::post(gateway.loop, [this, isForced] {
-        const TimePoint now = monotonicNow();
-        // New callers turn to another entry; connected callers are asked to close their
-        // connections.
+    const TimePoint now = monotonicNow();
+    if (now < gateway.leaving->acceptsUntil || hasEnded)
+        return;
+    // New callers turn to another entry; connected callers are asked to close their connections.
+    if (stoppedAcceptingAt == TimePoint{}) {
         listener.stopAccepting();
-        if (std::exchange(gateway.acceptsRequests, false))
-            stoppedAcceptingAt = now;
-        running = gateway.running;
-        const bool isIdle = gateway.running == 0 && now - stoppedAcceptingAt >= lingerTime;
-        if (!isIdle && !isForced)
-            return;
-        stopSignal.request();
-        listener.stop();
-        gateway.loop.stop();
-        hasEnded = true;
-    });
+        stoppedAcceptingAt = now;
+    }
+    if (now >= gateway.leaving->answersUntil)
+        listener.instanceEnds();
+    running = gateway.running;
+    const bool isDone = gateway.running == 0 && !listener.hasQueuedOutput()
+        && now - stoppedAcceptingAt >= lingerTime;
+    if (isDone || now >= gateway.leaving->endsAt)
+        endLoop();
+}
+
+void GatewayRole::Impl::endLoop()
+{
+    stopSignal.request();
+    listener.stop();
+    gateway.loop.stop();
+    hasEnded = true;
 }
 
 void GatewayRole::Impl::drainAndStop()
 {
-    const TimePoint startedAt = monotonicNow();
     isDraining = true;
     isReady = false;
+    boost::asio::post(gateway.loop, [this, startedAt = monotonicNow()] {
+        gateway.leaving = leavingFrom(settings.platform->stopGrace, startedAt);
+    });
     announce(catalogue::InstanceState::Leaving);
     telemetry::logLine(telemetry::LogLevel::Info, "gateway", "leaving",
                        {{"running", std::to_string(running.load())}});
-    const Duration maxTime = settings.platform->stopGrace - graceMargin;
-    const Duration minTime = std::min(minLeavingTime, maxTime);
     while (!hasEnded) {
         std::this_thread::sleep_for(leavingPoll);
-        const Duration elapsed = monotonicNow() - startedAt;
-        if (elapsed >= minTime)
-            endLoop(elapsed >= maxTime);
+        boost::asio::post(gateway.loop, [this] {
+            continueLeaving();
+        });
     }
     telemetry::logLine(telemetry::LogLevel::Info, "gateway", "stopped",
                        {{"running", std::to_string(running.load())}});
--- a/lib/gateway/listener.cpp
+++ b/lib/gateway/listener.cpp
@@ -100,6 +100,19 @@
     m_acceptor.close(ec);
 }
 
+void Listener::instanceEnds()
+{
+    for (const auto &it : m_connections)
+        it->instanceEnds();
+}
+
+bool Listener::hasQueuedOutput() const
+{
+    return std::any_of(m_connections.begin(), m_connections.end(), [](const auto &it) {
+        return it->queuedBytes() > 0;
+    });
+}
+
 void Listener::stop()
 {
     stopAccepting();
--- a/lib/gateway/listener.h
+++ b/lib/gateway/listener.h
@@ -30,6 +30,13 @@
     /// Stops accepting connections. Open ones are kept.
     void stopAccepting();
 
+    /// Called shortly before this instance ends. Answers the requests that are still running with
+    /// an error.
+    void instanceEnds();
+
+    /// Returns whether a part of any answer has not been sent yet.
+    bool hasQueuedOutput() const;
+
     /// Stops accepting connections and closes all open ones.
     void stop();
 
--- a/test/system/platform_interrupted.py
+++ b/test/system/platform_interrupted.py
@@ -2,6 +2,7 @@
 
 import json
 import socket
+import threading
 import time
 import unittest
 
@@ -103,5 +104,54 @@
         self.assertEqual((engine.version, engine.orders), (2, 1))
 
 
+class Stops(Interrupted):
+
+    # Guards against requests that a leaving entry passes on and then cuts.
+    def test_what_an_entry_passed_on_is_answered_before_it_stops(self):
+        self.start(stopGrace="3s")
+        passed_on = threading.Event()
+
+        def hold(handler, _server):
+            passed_on.set()
+            handler.close_connection = True
+            handler.connection.settimeout(10)
+            try:
+                handler.connection.recv(1)
+            except OSError:
+                pass
+            return True
+        for it in self.it.servers:
+            it.trick = hold
+        before = {name: self.send(method, f"/{route}/x", name, **fields) for name, method, route, fields in (
+            ("read", "GET", "read", {}), ("write", "POST", "write", {}), ("review", "POST", "review", MODEL))}
+        self.assertTrue(passed_on.wait(2))
+        time.sleep(0.3)
+        self.it.entries[1].process.terminate()
+        begun = time.monotonic()
+        # The process has to see the signal before it leaves.
+        time.sleep(0.3)
+        later = {}
+        while time.monotonic() - begun < 2.9:
+            name = f"late{len(later)}"
+            try:
+                later[name] = self.send("POST", "/write/x", name, 1000 if len(later) % 2 else 4000)
+            except OSError:
+                break
+            time.sleep(0.05)
+        self.assertEqual(self.it.entries[1].process.wait(3), 0)
+        self.assertLess(time.monotonic() - begun, 3)
+        # What was running may have run; the entry says so while it still can.
+        for name, connection in before.items():
+            self.assertEqual(read_until_closed(connection)[9:12], b"502", name)
+        seen = {it[2]["X-Request-Id"] for server in self.it.servers for it in server.seen}
+        statuses = {name: read_until_closed(connection)[9:12] for name, connection in later.items()}
+        for name, status in statuses.items():
+            if name in seen:
+                self.assertIn(status, (b"502", b"504"), f"{name} was passed on and cut")
+                self.assertEqual(int(name[4:]) % 2, 1, f"{name} was passed on although it may outlast the entry")
+        self.assertGreater(sum(name in seen for name in later), 3)
+        self.assertGreater(sum(status == b"503" for status in statuses.values()), 3)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/unittests/gateway/exchangetest.cpp
+++ b/unittests/gateway/exchangetest.cpp
@@ -166,3 +166,35 @@
         CHECK(statusBesideCopy(withoutId, route, true) == (route == "read" ? "502" : "200"));
     }
 }
+
+// Guards against requests that a leaving entry passes on and then cuts.
+TEST_CASE(
+    "a leaving entry answers what it has passed on, and accepts nothing that it may have to cut")
+{
+    ExchangeFixture t;
+    for (const auto &it : t.apps)
+        it->answer = [](Peer &, const std::string &) {};
+    t.gateway.leaving = leavingFrom(seconds(3), monotonicNow());
+    Peer &late = t.connect();
+    late.send(ExchangeFixture::request("write", "w1"));
+    REQUIRE(t.runUntil([&] {
+        return late.received.find("own answer") != std::string::npos;
+    }));
+    CHECK(late.received.substr(0, 12) == "HTTP/1.1 503");
+    Peer &inTime = t.connect();
+    inTime.send(ExchangeFixture::request("write", "w2", "Timeout: 1000\r\n"));
+    Peer &read = t.connect();
+    read.send(ExchangeFixture::request("read", "r1"));
+    REQUIRE(t.runUntil([&] {
+        return t.apps[0]->requests.size() + t.apps[1]->requests.size() >= 2;
+    }));
+    for (const auto &it : t.connections)
+        it->instanceEnds();
+    REQUIRE(t.runUntil([&] {
+        return read.hasEnded && inTime.hasEnded;
+    }));
+    // The requests may have run.
+    CHECK(read.received.substr(0, 12) == "HTTP/1.1 502");
+    CHECK(inTime.received.substr(0, 12) == "HTTP/1.1 502");
+    CHECK(t.gateway.running == 0);
+}
