Soak: servers that refuse connections, members killed in a rollout, and what shows both

Its faults of servers hit one server at a time and left its address open; its servers loaded weights at once; its callers took bytes that are no chunk for a cut stream; and its checks counted answers, of which one missing engine of three takes none away.

Change: two faults (all servers of a service refuse connections; one or all control members are killed while servers load), servers that load for 0.3 s, callers that tell a malformed answer from a cut one, and two checks: answers are well formed, and each server that is ready gets requests once the faults are over. The last calm is 7 s longer, so that it ends after the longest time for which a failing server is left out.

--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -70,6 +70,12 @@
     return breaches
 
 
+def answers_are_well_formed(history, _bounds):
+    """No bytes that belong to no answer come where a part of one is due."""
+    return [f"{it['id']}: {it['kind']} of {it['entry']} at {it['at']:.1f} s is malformed" for it in history.requests
+            if it["end"] == "MalformedAnswer"]
+
+
 def run_once(history, _bounds):
     """What may not be repeated runs once at most."""
     breaches, kinds = [], {it["id"]: it["kind"] for it in history.requests}
@@ -273,15 +279,22 @@
     return [] if served >= 0.95 * len(after) else [f"{served} of {len(after)} served {RECOVERY:.0f} s after the last fault"]
 
 
+def all_servers_used(history, _bounds):
+    """Once all faults have been over for long enough, each server that is ready gets requests."""
+    last = max([(it["ended"] or it["at"]) for it in history.faults], default=0)
+    used = {it["server"] for it in history.arrivals if it["at"] > last + RECOVERY and it["end"] != "misdirected"}
+    return [f"{it} got no request from {RECOVERY:.0f} s after the last fault on" for it in history.ready if it not in used]
+
+
 def ran_throughout(history, _bounds):
     """No process ends by itself, and those that are to end do so in time."""
     return [f"{it['name']} {it['how']} at {it['at']:.1f} s" for it in history.exits]
 
 
-CHECKS = (whole_answers, run_once, not_run_is_true, own_requests, leaving_ends_work,
+CHECKS = (whole_answers, answers_are_well_formed, run_once, not_run_is_true, own_requests, leaving_ends_work,
           leaving_stops_servers, time_left_is_told, limits_kept, repeats_in_budget,
           drained_servers_rest, configuration_kept, configuration_obeyed, stopping_cuts_nothing, answered_in_time, recovered,
-          ran_throughout)
+          all_servers_used, ran_throughout)
 
 
 def check_all(history, bounds):
--- a/test/soak/checkstest.py
+++ b/test/soak/checkstest.py
@@ -1,6 +1,8 @@
 """Each check of the soak is seen to find its breach, and to pass a history without it."""
 
+import http.client
 import signal
+import socket
 import subprocess
 import unittest
 
@@ -8,7 +10,7 @@
 from checks import Bounds, check_all
 from soak import ended_by_itself
 from soaksite import SoakProcess
-from standins import EVENTS, History, event, plain_body, question
+from standins import EVENTS, Answer, History, MalformedAnswer, event, plain_body, question
 
 BOUNDS = Bounds(drain=3.0, in_force=2.5, ratio=0.2, slack=5, window=10, limits={"north": (100, 200)}, limit_slack=100)
 
@@ -121,6 +123,23 @@
         stream["body"] = stream["body"][:40]
         self.assertEqual(self.found(), set())
 
+    def test_a_stream_with_bytes_that_belong_to_no_answer(self):
+        stream = self.served("y", "review", 31, complete=False, end="MalformedAnswer")
+        stream["body"] = stream["body"][:40]
+        self.assertEqual(self.found(), {"answers_are_well_formed"})
+
+    def test_a_second_head_is_no_size_of_a_chunk(self):
+        for rest, error in ((b"HTTP/1.1 502 Bad Gateway\r\n\r\n", MalformedAnswer), (b"", http.client.IncompleteRead)):
+            near, far = socket.socketpair()
+            with near, far:
+                far.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n" + rest)
+                far.shutdown(socket.SHUT_WR)
+                answer = Answer(near)
+                answer.begin()
+                with self.assertRaises(error):
+                    answer.read()
+                answer.close()
+
     def test_runs(self):
         twice = self.served("x", "write", 31)
         self.arrived(twice, stamp="again")
@@ -240,13 +259,20 @@
             it.update(status=503, complete=True)
         self.assertIn("recovered", self.found())
 
+    def test_servers_that_get_no_requests(self):
+        self.fault("killed in a rollout", "everyone", 10, 12)
+        self.history.ready = ["app-1"]
+        self.assertEqual(self.found(), set())
+        self.history.ready = ["app-1", "lm-2"]
+        self.assertEqual(self.found(), {"all_servers_used"})
+
     def test_processes(self):
         self.history.exits.append({"name": "control-1", "at": 5.0, "how": "ended by itself with 0"})
         self.assertEqual(self.found(), {"ran_throughout"})
 
     def test_every_check_is_tested(self):
         # A check that is added needs a case here.
-        self.assertEqual(len(checks.CHECKS), 16)
+        self.assertEqual(len(checks.CHECKS), 18)
 
 
 if __name__ == "__main__":
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -75,6 +75,8 @@
             "list silent": lambda: self.ruled("list silent", {SERVERS}, Rule("silence", None, {"list"}), lasts),
             "server fault": lambda: self.server_fault(server, lasts),
             "server restarted": lambda: Fault("server restarted", {SERVERS}, server.restart),
+            "servers unreachable": lambda: self.servers_unreachable(server.service, lasts),
+            "killed in a rollout": lambda: self.killed_in_a_rollout(names, min(lasts, 1.5)),
             "address reused": lambda: self.address_reused(server),
             "server drained": lambda: self.drained(server, lasts + 4),
             "changed": lambda: Fault("changed", set(), self.operator.change, planned=True),
@@ -175,6 +177,30 @@
             server.fault = value
         return Fault("server " + how, {SERVERS}, lambda: set_fault(how), lambda: set_fault(""), lasts)
 
+    def servers_unreachable(self, service, lasts):
+        """Resets all connections to a service's servers, which refuse new ones for a while."""
+        def begin():
+            self.site.proxy.refuse({it.proxied for it in self.site.servers if it.service == service})
+        return Fault("servers unreachable", {SERVERS}, begin, self.site.proxy.accept_again, lasts)
+
+    def killed_in_a_rollout(self, names, lasts):
+        """Kills one or all control members while servers load new weights."""
+        members = [it for it in names if it.startswith("control")]
+        killed = members if self.generator.random() < 0.5 else [self.generator.choice(members)]
+        pause = self.generator.uniform(0.05, 0.5)
+
+        def begin():
+            self.operator.name_weights()
+            time.sleep(pause)
+            for it in killed:
+                self.site.processes[it].kill()
+
+        def end():
+            for it in killed:
+                if not self.site.processes[it].alive():
+                    self.site.processes[it].start()
+        return Fault("killed in a rollout", set(killed) if len(killed) == 1 else {EVERYONE}, begin, end, lasts)
+
     def address_reused(self, server):
         """Another service gets the server's address, as after a replacement."""
         def begin():
--- a/test/soak/proxy.py
+++ b/test/soak/proxy.py
@@ -39,8 +39,8 @@
 class Pair:
     """A connection through the proxy, by the names of its ends."""
 
-    def __init__(self, source, target, near, far):
-        self.source, self.target = source, target
+    def __init__(self, source, target, near, far, address):
+        self.source, self.target, self.address = source, target, address
         self.flows = [Flow(near, far, True), Flow(far, near, False)]
         self.closed = False
 
@@ -79,6 +79,8 @@
         self.pairs = []
         self.running = True
         self.listeners = []
+        # Addresses that refuse connections, with where they lead to.
+        self.refusing = []
         self.thread = threading.Thread(target=self.run, daemon=True)
 
     def start(self):
@@ -92,6 +94,24 @@
         self.selector.register(it, selectors.EVENT_READ, (name, target))
         return it.getsockname()[1]
 
+    def refuse(self, ports):
+        """Resets the connections to these ports and refuses new ones until accept_again()."""
+        with self.lock:
+            for it in [it for it in self.listeners if it.getsockname()[1] in ports]:
+                name, target = self.selector.unregister(it).data
+                self.refusing.append((name, target, *it.getsockname()))
+                self.listeners.remove(it)
+                it.close()
+                for pair in self.pairs:
+                    if pair.address == target:
+                        self.reset(pair)
+
+    def accept_again(self):
+        with self.lock:
+            refusing, self.refusing = self.refusing, []
+            for it in refusing:
+                self.listen(*it)
+
     def add(self, rule):
         with self.lock:
             self.rules.append(rule)
@@ -150,7 +170,7 @@
                 it.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 # Wakes the loop; which pair has bytes is found by reading.
                 self.selector.register(it, selectors.EVENT_READ, "bytes")
-            self.pairs.append(Pair(source, name, near, far))
+            self.pairs.append(Pair(source, name, near, far, target))
 
     def move(self, pair, now):
         """Reads and writes what the rules let pass. Silence holds bytes back, as a network that sends them again later."""
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -83,7 +83,9 @@
         for it in threads:
             it.start()
         Player(seed, site, history, operator).play(seconds)
-        time.sleep(RECOVERY + 5)
+        # Long enough for the longest time for which entries leave out a server that failed again and again.
+        time.sleep(RECOVERY + 12)
+        history.ready = [it.name for it in site.servers if it.state == "ready"]
         stop.set()
         for it in threads:
             it.join(10)
--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -37,6 +37,8 @@
         # When servers began to leave, processes that ended wrongly, and the logs of all by file.
         self.lists = []
         self.exits = []
+        # Servers that were ready at the end.
+        self.ready = []
         self.logs = {}
 
     def now(self):
@@ -70,12 +72,14 @@
         self.fault = ""
         self.starts = 0
         super().__init__(name, service, version)
+        self.load_time = 0.3
 
     def restart(self):
         """A new start at the same address: a new name, and nothing of before."""
         self.starts += 1
         self.name = f"{self.service}-{self.port}-{self.starts}"
         self.orders = 0
+        self.is_loading = False
 
     def handle(self, it):
         if it.path.startswith("/-/") or it.path == "/h":
@@ -102,7 +106,7 @@
             record["end"] = "misdirected"
             return self.reply(it, 421, b"", {**own, "X-Weight-Versions": str(self.version)})
         fault = self.fault if self.generator.random() < 0.7 else ""
-        if fault == "sheds":
+        if fault == "sheds" or ("X-Model" in it.headers and self.is_loading):
             record["end"] = "not run"
             return self.reply(it, 503, b"", {**own, "X-Not-Executed": "1"})
         if fault == "hangs":
@@ -153,6 +157,23 @@
         record["end"] = "whole"
 
 
+class MalformedAnswer(http.client.HTTPException):
+    """An answer that goes on with bytes that belong to none, where the size of a chunk is due."""
+
+
+class Answer(http.client.HTTPResponse):
+    """An answer that tells bytes that are no size of a chunk from the end of the connection."""
+
+    def _read_next_chunk_size(self):
+        line = self.fp.readline(65537)
+        try:
+            return int(line.split(b";")[0], 16)
+        except ValueError:
+            if line:
+                raise MalformedAnswer(line) from None
+            raise
+
+
 class Caller(threading.Thread):
     """Sends requests of all kinds over connections that it keeps until they end."""
 
@@ -183,6 +204,7 @@
     def connect(self):
         host, port = self.generator.choice(self.entries())
         self.connection = http.client.HTTPConnection(host, port, timeout=PATIENCE)
+        self.connection.response_class = Answer
         self.connection.connect()
         self.entry = host
 
@@ -202,7 +224,9 @@
         record = self.begin(name, kind, first=resumed["events"] + 1 if resumed else 1)
         fields = self.fields(name)
         if kind in ("ask", "review"):
-            fields.update({"X-Model": "m", "X-Token-Usage": f"{PROMPT_TOKENS},{OUTPUT_TOKENS}", "X-Prompt-Prefix": "aa:60,bb:40"})
+            # Prompts that share nothing can go to any engine, others go to those that hold the shared part.
+            parts = "aa:60,bb:40" if self.generator.random() < 0.5 else f"{os.urandom(4).hex()}:100"
+            fields.update({"X-Model": "m", "X-Token-Usage": f"{PROMPT_TOKENS},{OUTPUT_TOKENS}", "X-Prompt-Prefix": parts})
         if resumed:
             fields["Last-Event-Id"] = str(resumed["events"])
         try:
--- a/test/system/platform_standin.py
+++ b/test/system/platform_standin.py
@@ -84,15 +84,17 @@
             self.orders += 1
             if self.load_time:
                 self.is_loading = True
-                threading.Timer(self.load_time, self.end_load, (order["Version"],)).start()
+                threading.Timer(self.load_time, self.end_load, (order["Version"], self.name)).start()
             else:
                 self.version = order["Version"]
         return self.reply(it, 202, b"{}")
 
-    def end_load(self, version):
+    def end_load(self, version, name):
         with self.lock:
-            self.version = version
-            self.is_loading = False
+            # A server that was restarted meanwhile has another name and loads nothing.
+            if self.name == name:
+                self.version = version
+                self.is_loading = False
 
     def reply(self, it, status, body, fields=None):
         it.send_response(status)
