Runtime: bytes without an end hold a call for a bounded time

What could happen in the native interface and in control's calls, found with the report of bytes without an end: an upstream that sends blanks or interim answers before its answer, or blanks or an extension before a chunk, for ever, held the thread of the request and its caller for as long as it sent. Memory was bounded; the library skips these bytes.

Cause: the library limits the time of each read, which bytes that are skipped begin anew. Only calls with a limit of their whole time, which attempts at upstreams have not, ended.

Change: the head, and each part of the body that a call waits for, must arrive within the longest silence.

--- a/lib/runtime/httpclient.cpp
+++ b/lib/runtime/httpclient.cpp
@@ -24,17 +24,19 @@
     return {static_cast<Poco::Timespan::TimeDiff>(d.count())};
 }
 
-// A socket on which the time of all reads together is limited. The library limits the time of each
-// read only, so that a peer that sends a byte now and then could hold a call forever.
+// A socket on which the time of all reads of a call together is limited, and that of the reads for
+// one part of the answer. The library limits the time of each read only. A peer that sends a byte
+// now and then, or bytes that the library skips, could hold a call forever.
 class LimitedSocket : public Poco::Net::StreamSocketImpl
 {
 public:
-    void setReadLimit(TimePoint until) { m_until = until; }
+    void limitCall(TimePoint until) { m_callUntil = until; }
+    void limitPart(TimePoint until) { m_partUntil = until; }
 
     int receiveBytes(void *buffer, int length, int flags) override
     {
-        if (m_until) {
-            const Duration left = *m_until - monotonicNow();
+        if (const auto until = limit()) {
+            const Duration left = *until - monotonicNow();
             const Poco::Timespan wait = std::min(timespan(left), getReceiveTimeout());
             if (left <= Duration(0) || !poll(wait, Poco::Net::Socket::SELECT_READ))
                 throw Poco::TimeoutException("the answer takes too long");
@@ -43,7 +45,15 @@
     }
 
 private:
-    std::optional<TimePoint> m_until;
+    std::optional<TimePoint> limit() const
+    {
+        if (!m_callUntil || !m_partUntil)
+            return m_callUntil ? m_callUntil : m_partUntil;
+        return std::min(*m_callUntil, *m_partUntil);
+    }
+
+    std::optional<TimePoint> m_callUntil;
+    std::optional<TimePoint> m_partUntil;
 };
 
 // A session that can tell whether a read would wait.
@@ -91,6 +101,8 @@
     settings::Address address;
     CallTimeouts timeouts;
     std::unique_ptr<PollableSession> session;
+    /// Owned by the session.
+    LimitedSocket *socket = nullptr;
     std::istream *in = nullptr;
     int status = 0;
     HeaderFields headers;
@@ -134,9 +146,8 @@
 {
     try {
         const Poco::Net::SocketAddress peer(m_impl->address.host, m_impl->address.port);
-        // The session owns the socket.
-        auto *socket = new LimitedSocket;
-        m_impl->session = std::make_unique<PollableSession>(socket, peer);
+        m_impl->socket = new LimitedSocket;
+        m_impl->session = std::make_unique<PollableSession>(m_impl->socket, peer);
         const auto silence = timespan(m_impl->timeouts.silence);
         const auto sending = timespan(m_impl->timeouts.send.value_or(m_impl->timeouts.silence));
         m_impl->session->setTimeout(timespan(m_impl->timeouts.connect), sending, silence);
@@ -145,7 +156,7 @@
         m_impl->session->open(peer);
         m_impl->session->socket().setNoDelay(true);
         if (m_impl->timeouts.total)
-            socket->setReadLimit(monotonicNow() + *m_impl->timeouts.total);
+            m_impl->socket->limitCall(monotonicNow() + *m_impl->timeouts.total);
     } catch (const Poco::Exception &e) {
         m_impl->session.reset();
         return fail(m_impl->error(ErrorCode::NoUpstream, "upstream.connect", e.displayText(),
@@ -191,6 +202,7 @@
 {
     try {
         Poco::Net::HTTPResponse response;
+        m_impl->socket->limitPart(monotonicNow() + m_impl->timeouts.silence);
         m_impl->in = &m_impl->session->receiveResponse(response);
         m_impl->status = response.getStatus();
         m_impl->session->setChunked(response.getChunkedTransferEncoding());
@@ -219,6 +231,7 @@
         std::streambuf &buf = *m_impl->in->rdbuf();
         if (buf.in_avail() <= 0 && !m_impl->session->isReadable(timeout))
             return ReadPart{ReadState::Timeout, {}};
+        m_impl->socket->limitPart(monotonicNow() + m_impl->timeouts.silence);
         if (buf.sgetc() == std::char_traits<char>::eof())
             return ReadPart{ReadState::End, {}};
         ReadPart part{ReadState::Data, {}};
