Soak: a disk is lost only while no other member is disturbed

Two of three members were lost, one more than the settings say is borne, and the cut could not end, since the player of the faults waited. The guard asks the members themselves, and a member that is cut off still answers operators.

The fault is left out while another fault that touches a member lasts.

--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -50,6 +50,10 @@
         else:
             fault.record["ended"] = self.history.now()
 
+    def is_disturbed(self, names):
+        """Whether a fault that touches one of the processes has not ended."""
+        return any(it["ended"] is None and set(it["touches"]) & (names | {EVERYONE}) for it in self.history.faults)
+
     def draw(self):
         lasts = self.generator.uniform(0.3, 4)
         names = list(self.site.processes)
@@ -142,8 +146,9 @@
 
     def disk_lost(self, name):
         def begin():
-            # More than one loss at a time is more than the settings say is borne.
-            if self.operator.is_whole():
+            # More than one loss at a time is more than the settings say is borne. A member that is cut off from the others
+            # still answers operators.
+            if self.operator.is_whole() and not self.is_disturbed({it for it in self.site.processes if it.startswith("control")} - {name}):
                 self.site.lose_disk(int(name.split("-")[1]))
                 wait_for(self.operator.is_whole, 40, "a lost disk was not replaced")
         return Fault("disk lost", {name}, begin)
