Entry: the end of an event is searched once in each byte

All that had arrived of the event was searched again with each part, so that the time grew with the square of its length.

The search begins behind what was searched, but for a divided end.

--- a/lib/entry/upstreamattempt.cpp
+++ b/lib/entry/upstreamattempt.cpp
@@ -187,6 +187,8 @@
 Result<void> relayStream(Attempt &attempt)
 {
     std::string pending;
+    // Length of the beginning of pending that was searched for the end of an event.
+    std::size_t searched = 0;
     bool isDone = false;
     while (true) {
         BOOST_LEAF_AUTO(part, readMore(attempt));
@@ -198,11 +200,15 @@
         if (pending.size() > maxEventBytes)
             return fail(attemptError(attempt, ErrorCode::TooLarge, "upstream.read",
                                      "an event is too large", Outcome::Unknown));
-        const std::size_t last = pending.rfind(eventEnd);
-        if (last == std::string::npos)
+        const std::size_t found = std::string_view(pending).substr(searched).rfind(eventEnd);
+        if (found == std::string_view::npos) {
+            // The end may be divided between two parts.
+            searched = std::max(pending.size(), eventEnd.size() - 1) - (eventEnd.size() - 1);
             continue;
-        const std::string events = pending.substr(0, last + eventEnd.size());
+        }
+        const std::string events = pending.substr(0, searched + found + eventEnd.size());
         pending.erase(0, events.size());
+        searched = 0;
         noteFirstPart(attempt);
         if (!attempt.sink.hasBegun() && !attempt.sink.begin("text/event-stream", attempt.headers)) {
             endGone(attempt);
