--- a/unittests/runtime/httptest.cpp
+++ b/unittests/runtime/httptest.cpp
@@ -279,8 +279,10 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(20));
         echo(exchange);
     });
+    constexpr std::size_t callerCount = 6;
     std::vector<std::thread> callers;
-    for (int n = 0; n < 6; ++n)
+    callers.reserve(callerCount);
+    for (std::size_t n = 0; n < callerCount; ++n)
         callers.emplace_back([&] {
             const std::string request = "GET /p?a=1 HTTP/1.1\r\nHost: a\r\n\r\n";
             // Uses a connection for as long as the server keeps it, then another one.
