--- a/unittests/entry/attempttest.cpp
+++ b/unittests/entry/attempttest.cpp
@@ -1,3 +1,4 @@
+#include "collectingsink.h"
 #include "upstreamattempt.h"
 
 #include <Poco/Net/ServerSocket.h>
@@ -13,36 +14,6 @@
 
 namespace {
 
-// Collects what a caller would get.
-class CollectingSink : public AnswerSink
-{
-public:
-    bool begin(const std::string &, const runtime::HeaderFields &) override
-    {
-        m_hasBegun = true;
-        return true;
-    }
-    bool events(const std::string &bytes) override
-    {
-        text += bytes;
-        return true;
-    }
-    bool whole(const runtime::HttpReply &reply) override
-    {
-        m_hasBegun = true;
-        text += reply.body;
-        return true;
-    }
-    bool gone() override { return isGone; }
-    bool hasBegun() const override { return m_hasBegun; }
-
-    std::string text;
-    bool isGone = false;
-
-private:
-    bool m_hasBegun = false;
-};
-
 // Accepts one connection, reads a request head, sends raw bytes and closes. The last \p heldBytes
 // follow after \p held.
 class RawUpstream
--- a/unittests/entry/endlesstest.cpp
+++ b/unittests/entry/endlesstest.cpp
@@ -1,5 +1,6 @@
 // Upstreams that send bytes without an end.
 
+#include "collectingsink.h"
 #include "upstreamattempt.h"
 
 #include <Poco/Exception.h>
@@ -7,7 +8,6 @@
 #include <Poco/Net/StreamSocket.h>
 #include <doctest/doctest.h>
 
-#include <atomic>
 #include <string>
 #include <thread>
 #include <utility>
@@ -73,33 +73,6 @@
     std::thread m_thread;
 };
 
-/// Counts what a caller would get.
-class CountingSink : public AnswerSink
-{
-public:
-    bool begin(const std::string &, const runtime::HeaderFields &) override
-    {
-        return m_begun = true;
-    }
-    bool events(const std::string &part) override
-    {
-        bytes += part.size();
-        return true;
-    }
-    bool whole(const runtime::HttpReply &reply) override
-    {
-        bytes += reply.body.size();
-        return m_begun = true;
-    }
-    bool gone() override { return false; }
-    bool hasBegun() const override { return m_begun; }
-
-    std::size_t bytes = 0;
-
-private:
-    bool m_begun = false;
-};
-
 } // namespace
 
 // Guards against a thread and memory that a faulty upstream takes for as long as it sends.
@@ -146,11 +119,11 @@
         settings::Bounds bounds;
         bounds.upstreamSilence = std::chrono::milliseconds(500);
         bounds.maxBodyBytes = maxBodyBytes;
-        CountingSink sink;
+        CollectingSink sink;
         const TimePoint begun = monotonicNow();
         const AttemptReport report = runAttempt(request, target, bounds, {}, sink, {});
         CHECK(monotonicNow() - begun < floodTime - std::chrono::seconds(1));
         CHECK(report.end == AttemptEnd::Failed);
-        CHECK(sink.bytes == 0);
+        CHECK(sink.text.empty());
     }
 }
--- a/unittests/entry/relaysinktest.cpp
+++ b/unittests/entry/relaysinktest.cpp
@@ -1,44 +1,11 @@
 #include "relaysink.h"
+#include "collectingsink.h"
 
 #include <doctest/doctest.h>
 
-#include <string>
-#include <vector>
-
 using namespace kumquathaven;
 using namespace kumquathaven::entry;
 
-namespace {
-
-/// Collects what the caller gets.
-class CollectingSink : public AnswerSink
-{
-public:
-    bool begin(const std::string &, const runtime::HeaderFields &) override
-    {
-        ++heads;
-        return true;
-    }
-    bool events(const std::string &bytes) override
-    {
-        text += bytes;
-        return true;
-    }
-    bool whole(const runtime::HttpReply &reply) override
-    {
-        ++heads;
-        text += reply.body;
-        return true;
-    }
-    bool gone() override { return false; }
-    bool hasBegun() const override { return heads > 0; }
-
-    int heads = 0;
-    std::string text;
-};
-
-} // namespace
-
 // Guards against the events of a second run inside the stream of a first one.
 TEST_CASE("a stream that is not of completion chunks is not continued by another attempt")
 {
