Gateway: a leaving entry serves the requests of the connections that it accepted last

Cause: connections and requests were refused from the same moment on. The connections that wait are accepted last, and their requests are read only after that.

Change: requests are refused 0.3 s after connections are, or when running requests are answered for the end. An answer of a leaving entry closes its connection, so that few requests come in that time.

--- a/lib/gateway/exchange.cpp
+++ b/lib/gateway/exchange.cpp
@@ -87,7 +87,7 @@
         wait = std::min(wait, *m_callerHead.timeout);
     m_deadline = m_arrivedAt + std::min(wait, maxWait);
     const auto &leaving = m_gateway.leaving;
-    if (leaving && !acceptsWhileLeaving(*leaving, *m_route, m_deadline, m_arrivedAt))
+    if (leaving && !acceptsWhileLeaving(*leaving, *m_route, m_deadline))
         return fail(refusal(ErrorCode::Unavailable, "this entry is leaving", leavingRetryAfter));
     if (m_callerHead.hasTokenCounts)
         m_tokens = m_callerHead.promptTokens + m_callerHead.maxOutputTokens;
--- a/lib/gateway/gatewayrole.cpp
+++ b/lib/gateway/gatewayrole.cpp
@@ -28,8 +28,8 @@
 
 constexpr Duration tickInterval = std::chrono::milliseconds(30);
 constexpr Duration sweepInterval = std::chrono::milliseconds(250);
-/// Time between the end of accepting connections and the end of the loop. Requests that arrive on
-/// open connections in that time are answered.
+/// Time between the end of accepting connections and the refusal of requests. Requests on the
+/// connections that were accepted last arrive in that time.
 constexpr Duration lingerTime = std::chrono::milliseconds(300);
 constexpr Duration leavingPoll = std::chrono::milliseconds(100);
 constexpr std::uint32_t probeThreads = 4;
@@ -301,11 +301,13 @@
         listener.stopAccepting();
         stoppedAcceptingAt = now;
     }
+    if (now - stoppedAcceptingAt >= lingerTime || now >= gateway.leaving->answersUntil)
+        gateway.leaving->acceptsRequests = false;
     if (now >= gateway.leaving->answersUntil)
         listener.instanceEnds();
     running = gateway.running;
-    const bool isDone = gateway.running == 0 && !listener.hasQueuedOutput()
-        && now - stoppedAcceptingAt >= lingerTime;
+    const bool isDone =
+        !gateway.leaving->acceptsRequests && gateway.running == 0 && !listener.hasQueuedOutput();
     if (isDone || now >= gateway.leaving->endsAt)
         endLoop();
 }
--- a/lib/gateway/leaving.cpp
+++ b/lib/gateway/leaving.cpp
@@ -32,12 +32,11 @@
     return leaving;
 }
 
-bool acceptsWhileLeaving(const Leaving &leaving, const deployment::Route &route, TimePoint deadline,
-                         TimePoint now)
+bool acceptsWhileLeaving(const Leaving &leaving, const deployment::Route &route, TimePoint deadline)
 {
-    if (now >= leaving.acceptsUntil)
-        return false;
-    return route.kind != deployment::RequestKind::NonIdempotent || deadline <= leaving.answersUntil;
+    const bool isAnsweredInTime = deadline <= leaving.answersUntil;
+    return leaving.acceptsRequests
+        && (isAnsweredInTime || route.kind != deployment::RequestKind::NonIdempotent);
 }
 
 } // namespace kumquathaven::gateway
--- a/lib/gateway/leaving.h
+++ b/lib/gateway/leaving.h
@@ -11,8 +11,10 @@
 /// Times of an entry that leaves.
 struct Leaving
 {
-    /// No request is accepted from this time on.
+    /// No connection is accepted from this time on.
     TimePoint acceptsUntil{};
+    /// False once requests on the open connections are refused, too.
+    bool acceptsRequests = true;
     /// Requests that are still running at this time are answered with an error.
     TimePoint answersUntil{};
     /// The process ends at this time, whatever has not been sent yet.
@@ -25,8 +27,8 @@
 /// Returns whether a leaving entry accepts a request of a route whose caller waits until \p
 /// deadline. A request that may run only once and is no stream is accepted only if its deadline is
 /// before the last answers: its caller could not tell whether it has run.
-bool acceptsWhileLeaving(const Leaving &leaving, const deployment::Route &route, TimePoint deadline,
-                         TimePoint now);
+bool acceptsWhileLeaving(const Leaving &leaving, const deployment::Route &route,
+                         TimePoint deadline);
 
 } // namespace kumquathaven::gateway
 
