Gateway: logs and metrics tell which parts ran where, how far an answer came, and whether a server ended

Cause: the logs named the last shared part only, counted the head of an answer as its first token, and said the same of a server that ended and of a connection that was cut. The hypotheses could not be told apart. Change: the parts in 'sent', the whole events in 'send ended', one connection to the server after a cut with its result as a line and two counters. No decision depends on them. Unit tests of the boundary of events and of the check of a server.

--- a/include/kumquathaven/answers/sse.h
+++ b/include/kumquathaven/answers/sse.h
@@ -50,6 +50,33 @@
     bool m_tooLarge = false;
 };
 
+/// Finds the ends of events in a byte stream, which may be split at any position, without keeping
+/// the events.
+class EventBoundary
+{
+public:
+    void feed(std::string_view bytes);
+
+    /// Returns the number of complete events: lines of fields that a blank line ends. Comments are
+    /// no events.
+    std::size_t eventCount() const { return m_eventCount; }
+
+    /// Returns whether the bytes so far end inside an event. A stream that ends there is
+    /// incomplete, however its end is framed.
+    bool isInsideEvent() const { return m_hasField || (m_lineLength > 0 && !m_isComment); }
+
+private:
+    void endLine();
+
+    std::size_t m_eventCount = 0;
+    /// Bytes of the line that is not ended yet.
+    std::size_t m_lineLength = 0;
+    bool m_isComment = false;
+    /// Whether the event has a line that is not a comment.
+    bool m_hasField = false;
+    bool m_afterCarriageReturn = false;
+};
+
 } // namespace kumquathaven::answers
 
 #endif // KUMQUATHAVEN_ANSWERS_SSE_H
--- a/lib/answers/sse.cpp
+++ b/lib/answers/sse.cpp
@@ -57,4 +57,33 @@
     m_hasData = true;
 }
 
+void EventBoundary::feed(std::string_view bytes)
+{
+    for (const char c : bytes) {
+        const bool endsPair = c == '\n' && m_afterCarriageReturn;
+        m_afterCarriageReturn = c == '\r';
+        if (endsPair)
+            continue;
+        if (c == '\r' || c == '\n') {
+            endLine();
+            continue;
+        }
+        if (m_lineLength == 0)
+            m_isComment = c == ':';
+        ++m_lineLength;
+    }
+}
+
+void EventBoundary::endLine()
+{
+    if (m_lineLength == 0) {
+        if (m_hasField)
+            ++m_eventCount;
+        m_hasField = false;
+    } else if (!m_isComment) {
+        m_hasField = true;
+    }
+    m_lineLength = 0;
+}
+
 } // namespace kumquathaven::answers
--- /dev/null
+++ b/lib/gateway/endedservers.h
@@ -0,0 +1,46 @@
+// Tells the end of a server from the end of a connection: after a request was cut, one connection
+// is opened to its server. A server that ended refuses it.
+
+#ifndef KUMQUATHAVEN_LIB_GATEWAY_ENDEDSERVERS_H
+#define KUMQUATHAVEN_LIB_GATEWAY_ENDEDSERVERS_H
+
+#include "kumquathaven/http/connection.h"
+#include "kumquathaven/telemetry/metrics.h"
+#include "servers.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace kumquathaven::gateway {
+
+/// Used on the loop's thread only.
+class EndedServers
+{
+public:
+    EndedServers(boost::asio::io_context &loop, telemetry::Metrics &metrics);
+    EndedServers(const EndedServers &) = delete;
+    EndedServers &operator=(const EndedServers &) = delete;
+
+    /// Checks whether the server of a request whose connection ended has ended itself. Requests
+    /// that are cut together share one check.
+    void check(const Pick &pick);
+
+private:
+    struct Check;
+
+    void finish(const std::string &start, bool isAlive);
+
+    boost::asio::io_context &m_loop;
+    telemetry::Counter &m_ended;
+    telemetry::Counter &m_alive;
+    /// Running checks by start of the server.
+    std::map<std::string, std::shared_ptr<Check>> m_checks;
+};
+
+} // namespace kumquathaven::gateway
+
+#endif // KUMQUATHAVEN_LIB_GATEWAY_ENDEDSERVERS_H
--- a/lib/gateway/exchange.cpp
+++ b/lib/gateway/exchange.cpp
@@ -227,6 +227,15 @@
     telemetry::logLine(level, "request", what, all);
 }
 
+/// Returns the ids of the parts of the prompt that other requests may share.
+std::string Exchange::sharedPartsText() const
+{
+    std::string text;
+    for (std::size_t n = 0; n + 1 < m_callerHead.prompt.size(); ++n)
+        text += (n == 0 ? "" : ",") + m_callerHead.prompt[n].id;
+    return text;
+}
+
 /// Logs the server that the request is sent to and the data behind that decision.
 void Exchange::logAttempt() const
 {
@@ -236,6 +245,7 @@
          {"server", m_pick->serverId},
          {"address", settings::toString(m_pick->address)},
          {"choice", m_pick->reason},
+         {"parts", sharedPartsText()},
          {"listAgeMs", millisecondsText(now - m_gateway.servers.listReadAt)},
          {"configuration", std::to_string(m_plan->plan.version)},
          {"timeLeftMs", millisecondsText(timeLeft(now))}});
@@ -249,7 +259,8 @@
         {{"send", std::to_string(m_attempts)},
          {"server", m_pick->serverId},
          {"how", std::string(nameOf(attemptEndNames, end))},
-         {"hadFirstToken", m_hasFirstToken ? "yes" : "no"}});
+         {"hadFirstToken", m_hasFirstToken ? "yes" : "no"},
+         {"events", std::to_string(m_eventBoundary.eventCount())}});
 }
 
 } // namespace kumquathaven::gateway
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -11,6 +11,7 @@
 #include "callerconnection.h"
 #include "eventframer.h"
 #include "gateway.h"
+#include "kumquathaven/answers/sse.h"
 #include "kumquathaven/base/outcome.h"
 #include "kumquathaven/telemetry/log.h"
 #include "upstreamcall.h"
@@ -82,6 +83,7 @@
     void close(telemetry::LogLevel level, const char *what, telemetry::LogFields fields = {});
     /// Writes a log line with the fields that identify this request.
     void log(telemetry::LogLevel level, const char *what, telemetry::LogFields fields) const;
+    std::string sharedPartsText() const;
     void logAttempt() const;
     void logAttemptEnd(AttemptEnd end) const;
     bool isStream() const { return m_route->kind == deployment::RequestKind::Streaming; }
@@ -112,6 +114,8 @@
     bool m_hasFirstToken = false;
     /// Whether the server answered with an error of its own.
     bool m_isServerError = false;
+    /// Events of the answer to this attempt.
+    answers::EventBoundary m_eventBoundary;
     /// When the last bytes of the answer to this attempt arrived, and the pause before them.
     TimePoint m_lastBytesAt{};
     std::optional<Duration> m_lastPause;
--- a/lib/gateway/exchangeanswer.cpp
+++ b/lib/gateway/exchangeanswer.cpp
@@ -98,8 +98,10 @@
     if (!m_answerHead)
         return;
     const bool isEvents = isStream() && m_answerHead->status == statusOk;
-    if (isEvents)
+    if (isEvents) {
+        m_eventBoundary.feed(bytes);
         recordServerPause(monotonicNow());
+    }
     if (!isEvents || !m_route->resumable) {
         forward(std::string(bytes));
         return;
@@ -206,6 +208,8 @@
         send();
         return;
     }
+    if (m_pick && failure != CallFailure::Malformed)
+        m_gateway.endedServers.check(*m_pick);
     const AttemptEnd end =
         failure == CallFailure::StaleConnection ? AttemptEnd::Answered : AttemptEnd::Cut;
     m_eventFramer.takePartial();
--- a/lib/gateway/exchangesend.cpp
+++ b/lib/gateway/exchangesend.cpp
@@ -84,6 +84,7 @@
     m_sentAt = now;
     m_hasFirstToken = false;
     m_isServerError = false;
+    m_eventBoundary = {};
     logAttempt();
     m_call = std::make_shared<UpstreamCall>(m_gateway.loop, m_gateway.pool,
                                             m_gateway.dialect.requests.readAnswer);
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -60,6 +60,7 @@
     , dialect(d)
     , metrics(m)
     , limits(l)
+    , endedServers(loop, metrics)
     , counters(m)
     , gauges(m)
 {
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -4,6 +4,7 @@
 #ifndef KUMQUATHAVEN_LIB_GATEWAY_GATEWAY_H
 #define KUMQUATHAVEN_LIB_GATEWAY_GATEWAY_H
 
+#include "endedservers.h"
 #include "kumquathaven/deployment/dialect.h"
 #include "kumquathaven/deployment/plan.h"
 #include "kumquathaven/settings/settings.h"
@@ -97,6 +98,7 @@
     std::shared_ptr<const PlanInForce> plan;
     Servers servers;
     UpstreamPool pool;
+    EndedServers endedServers;
     /// Retry budgets by service.
     std::map<std::string, RetryBudget> retryBudgets;
     RetryRules retryRules;
--- a/unittests/answers/streamtest.cpp
+++ b/unittests/answers/streamtest.cpp
@@ -136,3 +136,34 @@
           == R"({"id":"b","model":"m","choices":[{"index":0,"delta":{"content":"y"}}]})");
     CHECK(rewriteChunk(data, "", {}) == data);
 }
+
+TEST_CASE("the end of an event is found wherever the bytes are split")
+{
+    struct Case
+    {
+        const char *name;
+        std::string bytes;
+        std::size_t events;
+        bool isInside;
+    };
+    const std::vector<Case> cases{
+        {"nothing", "", 0, false},
+        {"whole events", "id: 1\ndata: a\n\ndata: b\r\n\r\n", 2, false},
+        {"carriage returns alone", "data: a\r\rdata: b\r\r", 2, false},
+        {"inside a line", "data: a\n\nda", 1, true},
+        {"before the blank line", "data: a\n\ndata: b\n", 1, true},
+        {"a comment behind the events", "data: a\n\n: alive", 1, false},
+        {"a comment inside an event", "data: a\n: alive\n", 0, true},
+        {"blank lines only", "\n\n\r\n", 0, false},
+    };
+    for (const Case &it : cases) {
+        CAPTURE(it.name);
+        for (std::size_t split = 0; split <= it.bytes.size(); ++split) {
+            EventBoundary boundary;
+            boundary.feed(std::string_view(it.bytes).substr(0, split));
+            boundary.feed(std::string_view(it.bytes).substr(split));
+            CHECK(boundary.eventCount() == it.events);
+            CHECK(boundary.isInsideEvent() == it.isInside);
+        }
+    }
+}
--- a/unittests/gateway/exchangefixture.cpp
+++ b/unittests/gateway/exchangefixture.cpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <cerrno>
+#include <sstream>
 #include <thread>
 #include <utility>
 
@@ -142,6 +143,9 @@
         const std::string timeout = runtime::headerValue(fields, "Timeout");
         if (!timeout.empty())
             head.timeout = std::chrono::milliseconds(std::stoi(timeout));
+        std::istringstream prompt(runtime::headerValue(fields, "Prompt"));
+        for (std::string part; std::getline(prompt, part, ',');)
+            head.prompt.push_back({part, 100});
         return head;
     };
     dialect.requests.forwardFields = [](const runtime::HeaderFields &fields,
--- a/unittests/gateway/exchangetest.cpp
+++ b/unittests/gateway/exchangetest.cpp
@@ -121,6 +121,36 @@
     CHECK(t.engines[1]->requests.empty());
 }
 
+// Guards against a server that ended being taken for one that cut a connection, and the reverse.
+TEST_CASE("the end of a server is told from the end of a connection")
+{
+    ExchangeFixture t(1);
+    bool isEnd = false;
+    SUBCASE("the server ends")
+    {
+        isEnd = true;
+    }
+    SUBCASE("the server cuts the connection") { }
+    t.apps[0]->answer = [&](Peer &peer, const std::string &) {
+        if (isEnd)
+            t.apps[0]->cut();
+        else
+            peer.reset();
+    };
+    Peer &caller = t.connect();
+    caller.send(ExchangeFixture::request("write", "w1"));
+    const std::string ended = "kumquathaven_servers_ended_total";
+    const std::string alive = "kumquathaven_server_connections_lost_total";
+    const auto counted = [&](const std::string &name) {
+        return t.metrics.exposition().find("\n" + name + " 1") != std::string::npos;
+    };
+    REQUIRE(t.runUntil([&] {
+        return counted(ended) || counted(alive);
+    }));
+    CHECK(counted(ended) == isEnd);
+    CHECK(counted(alive) != isEnd);
+}
+
 // Guards against a buffer that grows for as long as a faulty server sends.
 TEST_CASE("a stream with an event that does not end is resumed elsewhere with bounded memory")
 {
