--- a/test/system/platform_standin.py
+++ b/test/system/platform_standin.py
@@ -13,6 +13,29 @@
     daemon_threads = True
     request_queue_size = 128
 
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.connections = set()
+
+    def get_request(self):
+        request = super().get_request()
+        self.connections.add(request[0])
+        return request
+
+    def shutdown_request(self, request):
+        self.connections.discard(request)
+        super().shutdown_request(request)
+
+    def end(self):
+        """Refuses connections and cuts those that are open, as the end of a process does."""
+        self.server_close()
+        for it in list(self.connections):
+            try:
+                it.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # The other end has closed it.
+        self.shutdown()
+
     def handle_error(self, request, client_address):
         if not isinstance(sys.exc_info()[1], OSError):
             super().handle_error(request, client_address)
@@ -23,11 +46,13 @@
 
     def __init__(self, name, service, version=0):
         self.name, self.service, self.version = name, service, version
+        self.born = 1
         self.state = "ready"
         self.orders = 0
         # Seconds for which the server loads the weights that it was ordered to load.
         self.load_time = 0.0
         self.is_loading = False
+        self.is_up = True
         # Called with the handler; returns whether it answered.
         self.trick = None
         self.lock = threading.Lock()
@@ -46,14 +71,35 @@
 
             do_POST = do_PUT = do_HEAD = do_GET
 
-        self.httpd = QuietServer(("127.0.0.1", 0), Handler)
+        self.handler = Handler
+        self.listen(0)
+
+    def listen(self, port):
+        self.httpd = QuietServer(("127.0.0.1", port), self.handler)
         self.port = self.httpd.server_address[1]
         threading.Thread(target=self.httpd.serve_forever, daemon=True).start()
 
+    def crash(self, down_s):
+        """Ends as a process does, and starts again after a time."""
+        with self.lock:
+            if not self.is_up:
+                return
+            self.is_up = False
+        self.httpd.end()
+        threading.Timer(down_s, self.start_again).start()
+
+    def start_again(self):
+        with self.lock:
+            self.born += 1
+            self.orders = 0
+            self.is_loading = False
+            self.listen(self.port)
+            self.is_up = True
+
     def entry(self):
         models = [{"Name": "m", "Version": self.version, "Adapters": []}] if self.version else []
         return {"Service": self.service, "Addr": f"127.0.0.1:{self.port}", "Zone": "z1", "Version": "v1", "Slots": 8,
-                "State": self.state, "ColdLeftMs": 0, "Stage": "both", "Models": models, "Id": self.name, "born": 1}
+                "State": self.state, "ColdLeftMs": 0, "Stage": "both", "Models": models, "Id": self.name, "born": self.born}
 
     def handle(self, it):
         body = it.rfile.read(int(it.headers.get("Content-Length") or 0))
