Gateway: a stream that ends inside an event is resumed or cut, whatever ends it

Callers saw the first half of an event followed by a last chunk, as a complete stream: the end of the connection ended an answer without a length, and the buffered half was appended as its remainder. Cause: an answer was complete as soon as its framing said so; nothing asked whether the stream was. Change: one function, isCompleteStream(), decides by the bytes and by what ended them. A stream without a length that ends before any event is broken off too. Result: the test fails before (complete with half an event; on a route without resumption as well).

--- a/include/kumquathaven/answers/sse.h
+++ b/include/kumquathaven/answers/sse.h
@@ -61,8 +61,7 @@
     /// no events.
     std::size_t eventCount() const { return m_eventCount; }
 
-    /// Returns whether the bytes so far end inside an event. A stream that ends there is
-    /// incomplete, however its end is framed.
+    /// Returns whether the bytes so far end inside an event.
     bool isInsideEvent() const { return m_hasField || (m_lineLength > 0 && !m_isComment); }
 
 private:
@@ -77,6 +76,10 @@
     bool m_afterCarriageReturn = false;
 };
 
+/// Returns whether a stream that has ended in order is complete. It is not if it ends inside an
+/// event, or without any event where only the end of the connection ends it.
+bool isCompleteStream(const EventBoundary &boundary, bool endsWithConnection);
+
 } // namespace kumquathaven::answers
 
 #endif // KUMQUATHAVEN_ANSWERS_SSE_H
--- a/lib/answers/sse.cpp
+++ b/lib/answers/sse.cpp
@@ -86,4 +86,9 @@
     m_lineLength = 0;
 }
 
+bool isCompleteStream(const EventBoundary &boundary, bool endsWithConnection)
+{
+    return !boundary.isInsideEvent() && (boundary.eventCount() > 0 || !endsWithConnection);
+}
+
 } // namespace kumquathaven::answers
--- a/lib/gateway/exchangeanswer.cpp
+++ b/lib/gateway/exchangeanswer.cpp
@@ -28,6 +28,7 @@
         return;
     }
     m_outcome = Outcome::Ran;
+    m_endsWithConnection = head.endsWithConnection;
     const TimePoint now = monotonicNow();
     const bool isFailure = head.status >= statusServerError;
     m_isServerError = isFailure;
@@ -182,6 +183,11 @@
         handleFailure(CallFailure::Malformed);
         return;
     }
+    const bool isEvents = isStream() && m_answerHead->status == statusOk;
+    if (isEvents && !answers::isCompleteStream(m_eventBoundary, m_endsWithConnection)) {
+        handleFailure(CallFailure::Cut);
+        return;
+    }
     const std::string remainder = m_eventFramer.takePartial() + std::exchange(m_bufferedBody, {});
     forwardHead();
     endAttempt(m_isServerError ? AttemptEnd::ServerError : AttemptEnd::Answered);
--- a/unittests/answers/streamtest.cpp
+++ b/unittests/answers/streamtest.cpp
@@ -167,3 +167,19 @@
         }
     }
 }
+
+TEST_CASE("a stream that ends inside an event, or without a length before any, is incomplete")
+{
+    const auto isComplete = [](const std::string &bytes, bool endsWithConnection) {
+        EventBoundary boundary;
+        boundary.feed(bytes);
+        return isCompleteStream(boundary, endsWithConnection);
+    };
+    CHECK(isComplete("data: a\n\n", true));
+    CHECK(isComplete("data: a\n\n", false));
+    CHECK(isComplete("", false));
+    CHECK_FALSE(isComplete("", true));
+    CHECK_FALSE(isComplete(": alive\n\n", true));
+    for (const bool endsWithConnection : {false, true})
+        CHECK_FALSE(isComplete("data: a\n\nid: 2\nda", endsWithConnection));
+}
--- a/unittests/gateway/exchangefixture.cpp
+++ b/unittests/gateway/exchangefixture.cpp
@@ -189,6 +189,8 @@
     addRoute("read", deployment::RequestKind::Idempotent, "app");
     addRoute("write", deployment::RequestKind::NonIdempotent, "app");
     addRoute("ask", deployment::RequestKind::Streaming, "lm");
+    addRoute("review", deployment::RequestKind::Streaming, "lm");
+    plan.routes.back().resumable = false;
     plan.services["app"].name = "app";
     plan.services["lm"].name = "lm";
     plan.services["lm"].engine.emplace();
--- a/unittests/gateway/exchangetest.cpp
+++ b/unittests/gateway/exchangetest.cpp
@@ -121,6 +121,82 @@
     CHECK(t.engines[1]->requests.empty());
 }
 
+// Guards against a stream that broke off inside an event and reaches its caller as complete.
+TEST_CASE("a stream without a length that ends inside an event is resumed or cut")
+{
+    ExchangeFixture t;
+    std::string route = "ask";
+    SUBCASE("resumable") { }
+    SUBCASE("not resumable")
+    {
+        route = "review";
+    }
+    for (const auto &it : t.engines)
+        it->answer = [](Peer &peer, const std::string &request) {
+            const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nId: "
+                + fieldOf(request, "Id") + "\r\n\r\n";
+            const bool isResumed = !fieldOf(request, "Resume").empty();
+            peer.send(
+                head
+                + (isResumed ? "id: 2\ndata: piece 2\n\n" : "id: 1\ndata: piece 1\n\nid: 2\nda"));
+            peer.close();
+        };
+    Peer &caller = t.connect();
+    caller.send(ExchangeFixture::request(route, "r1"));
+    REQUIRE(t.runUntil([&] {
+        return caller.hasEnded || caller.received.find("0\r\n\r\n") != std::string::npos;
+    }));
+    const bool isComplete = caller.received.find("0\r\n\r\n") != std::string::npos;
+    CHECK(isComplete == (route == "ask"));
+    CHECK(countOf(caller.received, "piece ") == (route == "ask" ? 2 : 1));
+    CHECK(countOf(caller.received, "HTTP/1.1") == 1);
+}
+
+// Guards against a reset that ends an answer without a length as complete.
+TEST_CASE("an answer without a length is complete if its connection ends in order, not by a reset")
+{
+    ExchangeFixture t(1);
+    bool isReset = false;
+    SUBCASE("closed") { }
+    SUBCASE("reset")
+    {
+        isReset = true;
+    }
+    t.apps[0]->answer = [&](Peer &peer, const std::string &request) {
+        peer.send("HTTP/1.1 200 OK\r\nId: " + fieldOf(request, "Id") + "\r\n\r\nbody");
+        if (isReset)
+            peer.reset();
+        else
+            peer.close();
+    };
+    Peer &caller = t.connect();
+    caller.send(ExchangeFixture::request("write", "w1"));
+    REQUIRE(t.runUntil([&] {
+        return caller.received.find("\r\n\r\n") != std::string::npos;
+    }));
+    CHECK(caller.received.substr(0, 12) == (isReset ? "HTTP/1.1 502" : "HTTP/1.1 200"));
+}
+
+// Guards against half of a server's head becoming a whole answer without a body.
+TEST_CASE("a server that stops in the middle of its head has not answered")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nId: w1\r\nContent-Type: text/plain\r\n\r\n";
+    for (std::size_t length = 0; length < head.size(); length += 5) {
+        CAPTURE(length);
+        ExchangeFixture t(1);
+        t.apps[0]->answer = [&](Peer &peer, const std::string &) {
+            peer.send(head.substr(0, length));
+            peer.close();
+        };
+        Peer &caller = t.connect();
+        caller.send(ExchangeFixture::request("write", "w1"));
+        REQUIRE(t.runUntil([&] {
+            return caller.received.find("\r\n\r\n") != std::string::npos;
+        }));
+        CHECK(caller.received.substr(0, 12) == "HTTP/1.1 502");
+    }
+}
+
 // Guards against a server that ended being taken for one that cut a connection, and the reverse.
 TEST_CASE("the end of a server is told from the end of a connection")
 {
