Overlay: facts, records that every instance holds until they lapse

Cause: an event reaches the instances that are connected when it is sent, so that one that starts later, was cut off or thawed never learns a decision. Change: a fact is held by each instance, sent over each new link, replaced by a newer generation and extended in steps; messages without facts are as before. Result: unit tests of generations, extensions, bounds and codec; in the simulated network a fact reaches a domain that was cut off, and survives restarts of all 30 instances in turn.

--- a/include/kumquathaven/overlay/aggregate.h
+++ b/include/kumquathaven/overlay/aggregate.h
@@ -1,8 +1,9 @@
 // What an instance knows from all others and passes on along the tree.
 //
-// There are three kinds of content. A level is a number that each instance has under a key, of
+// There are four kinds of content. A level is a number that each instance has under a key, of
 // which only the sum over all instances matters. A count is a number of which only the increments
-// are passed on. An event is a record that every instance receives once. Over each link an instance
+// are passed on. An event is a record that every instance receives once. A fact is a record that
+// every instance holds until it lapses, also one that joins later. Over each link an instance
 // sends the sum of what it knows from everywhere else, so that the size of a message depends on
 // the number of keys and not on the number of instances.
 //
@@ -18,6 +19,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -54,6 +56,17 @@
     Duration age{0};
 };
 
+struct Fact
+{
+    Key key = 0;
+    /// Of two facts with one key the one with the larger generation holds, and of one generation
+    /// the one that lapses later.
+    std::uint64_t generation = 0;
+    std::string bytes;
+    /// Time until the fact lapses.
+    Duration lifetime{0};
+};
+
 /// One message over a link, in either direction.
 struct Update
 {
@@ -62,6 +75,7 @@
     std::vector<LevelUpdate> levels;
     std::vector<Increment> increments;
     std::vector<Event> events;
+    std::vector<Fact> facts;
     /// What the sender says of itself, in a format of the caller's.
     std::string note;
 };
@@ -82,6 +96,10 @@
     /// dropped.
     std::size_t maxEventsSent = 256;
     std::size_t maxEventsQueued = 4'096;
+    /// Maximum number of facts; further ones are not held.
+    std::size_t maxFacts = 512;
+    /// A fact is passed on again only if it lapses later by this much.
+    Duration minFactExtension = std::chrono::seconds(5);
 };
 
 /// One side's contribution to a level.
@@ -99,6 +117,13 @@
     std::int64_t total = 0;
 };
 
+struct HeldFact
+{
+    std::uint64_t generation = 0;
+    std::string bytes;
+    TimePoint expiresAt{};
+};
+
 struct QueuedEvent
 {
     Event event;
@@ -118,6 +143,8 @@
     std::unordered_map<Key, std::uint64_t> eventPositions;
     std::uint64_t eventsRemoved = 0;
     std::uint64_t eventsDropped = 0;
+    /// Keys of facts that are due to be sent.
+    std::set<Key> changedFacts;
     TimePoint lastSentAt{};
     TimePoint smallChangesSentAt{};
     bool isSuspended = false;
@@ -136,6 +163,7 @@
     /// Whether the instance is between two parents, so that increments and events are kept for the
     /// next one.
     bool isBetweenParents = false;
+    std::map<Key, HeldFact> facts;
     std::map<Key, std::int64_t> undeliveredIncrements;
     std::deque<QueuedEvent> undeliveredEvents;
 };
@@ -157,8 +185,14 @@
 
 void addOwnEvent(Aggregate &aggregate, const Event &event, TimePoint now);
 
-/// Applies a message of a link: updates levels, and queues increments and events for the other
-/// links. Messages of unknown links are ignored.
+/// Holds a fact and passes it on, unless a newer one is held. Returns whether it changed anything.
+bool setFact(Aggregate &aggregate, const Fact &fact, TimePoint now);
+
+/// Removes the facts that lapsed.
+void removeLapsedFacts(Aggregate &aggregate, TimePoint now);
+
+/// Applies a message of a link: updates levels and facts, and queues increments and events for the
+/// other links. Messages of unknown links are ignored.
 void applyUpdate(Aggregate &aggregate, LinkNumber link, const Update &update, TimePoint now);
 
 /// Returns whether a message over a link is due.
--- a/include/kumquathaven/overlay/member.h
+++ b/include/kumquathaven/overlay/member.h
@@ -45,6 +45,7 @@
     /// What other instances have sent, for this one.
     std::vector<Event> events;
     std::vector<Increment> increments;
+    std::vector<Fact> facts;
 };
 
 /// Bounds on the children of a member.
@@ -91,6 +92,7 @@
     }
     void addIncrement(Key key, std::int64_t amount) { addOwnIncrement(m_aggregate, key, amount); }
     void addEvent(const Event &event, TimePoint now) { addOwnEvent(m_aggregate, event, now); }
+    void setFact(const Fact &fact, TimePoint now) { overlay::setFact(m_aggregate, fact, now); }
     /// Sets the note that is sent along with every update to children.
     void setNote(std::string note) { m_note = std::move(note); }
 
--- a/lib/overlay/aggregate.cpp
+++ b/lib/overlay/aggregate.cpp
@@ -99,6 +99,44 @@
     ++link.eventsDropped;
 }
 
+/// Holds a fact and queues it for all links but the one that it came over.
+bool holdFact(Aggregate &aggregate, const Fact &fact, LinkNumber except, TimePoint now)
+{
+    const auto known = aggregate.facts.find(fact.key);
+    const TimePoint expiresAt = now + fact.lifetime;
+    if (known == aggregate.facts.end()) {
+        if (aggregate.facts.size() >= aggregate.config.maxFacts || expiresAt <= now)
+            return false;
+    } else {
+        const HeldFact &held = known->second;
+        const bool isNewer = fact.generation > held.generation
+            || (fact.generation == held.generation
+                && expiresAt >= held.expiresAt + aggregate.config.minFactExtension);
+        if (!isNewer)
+            return false;
+    }
+    aggregate.facts[fact.key] = {fact.generation, fact.bytes, expiresAt};
+    for (auto &[number, link] : aggregate.links) {
+        if (number == except || link.isSuspended)
+            continue;
+        link.changedFacts.insert(fact.key);
+        link.hasLargeChange = true;
+    }
+    return true;
+}
+
+std::vector<Fact> takeFacts(const Aggregate &aggregate, LinkState &link, TimePoint now)
+{
+    std::vector<Fact> facts;
+    for (const Key key : std::exchange(link.changedFacts, {})) {
+        const auto it = aggregate.facts.find(key);
+        if (it != aggregate.facts.end() && it->second.expiresAt > now)
+            facts.push_back(
+                {key, it->second.generation, it->second.bytes, it->second.expiresAt - now});
+    }
+    return facts;
+}
+
 /// Keeps an event for the next parent if there is none at present.
 void keepForParent(Aggregate &aggregate, const Event &event, TimePoint now)
 {
@@ -177,6 +215,8 @@
         if (level.total != 0)
             state.changed.insert(key);
     }
+    for (const auto &it : aggregate.facts)
+        state.changedFacts.insert(it.first);
     state.hasLargeChange = true;
     state.smallChangesSentAt = now - aggregate.config.smallChangeInterval;
     if (!isParent)
@@ -198,6 +238,7 @@
     state.eventPositions.clear();
     state.changed.clear();
     state.sent.clear();
+    state.changedFacts.clear();
     state.isSuspended = true;
 }
 
@@ -252,6 +293,17 @@
     }
 }
 
+bool setFact(Aggregate &aggregate, const Fact &fact, TimePoint now)
+{
+    return holdFact(aggregate, fact, ownLink, now);
+}
+
+void removeLapsedFacts(Aggregate &aggregate, TimePoint now)
+{
+    for (auto it = aggregate.facts.begin(); it != aggregate.facts.end();)
+        it = it->second.expiresAt <= now ? aggregate.facts.erase(it) : std::next(it);
+}
+
 void applyUpdate(Aggregate &aggregate, LinkNumber link, const Update &update, TimePoint now)
 {
     const auto from = aggregate.links.find(link);
@@ -264,6 +316,8 @@
         if (aggregate.isBetweenParents)
             aggregate.undeliveredIncrements[it.key] += it.amount;
     }
+    for (const Fact &it : update.facts)
+        holdFact(aggregate, it, link, now);
     for (const LevelUpdate &it : update.levels)
         setContribution(aggregate, it.key, link, it.value, now - it.sinceDecrease);
     for (auto &[number, other] : aggregate.links) {
@@ -306,6 +360,7 @@
     }
     state.increments.clear();
     update.events = takeEvents(aggregate.config, state, now);
+    update.facts = takeFacts(aggregate, state, now);
     state.lastSentAt = now;
     state.hasLargeChange = !state.events.empty();
     return update;
--- a/lib/overlay/member.cpp
+++ b/lib/overlay/member.cpp
@@ -111,6 +111,7 @@
     effects.events.insert(effects.events.end(), update.events.begin(), update.events.end());
     effects.increments.insert(effects.increments.end(), update.increments.begin(),
                               update.increments.end());
+    effects.facts.insert(effects.facts.end(), update.facts.begin(), update.facts.end());
 }
 
 MemberEffects Member::receive(const std::string &uplink, const Update &update, TimePoint now)
@@ -168,6 +169,7 @@
     if (now - m_cleanedAt >= cleaningInterval) {
         m_cleanedAt = now;
         removeUnusedLevels(m_aggregate);
+        removeLapsedFacts(m_aggregate, now);
     }
     takeDueUpdates(effects, now);
     return effects;
--- a/lib/overlay/messages.cpp
+++ b/lib/overlay/messages.cpp
@@ -16,6 +16,7 @@
 // Bounds far above what instances send, which keep arithmetic in range.
 constexpr std::size_t maxLevels = 100'000;
 constexpr std::size_t maxEvents = 10'000;
+constexpr std::size_t maxFacts = 10'000;
 constexpr std::int64_t maxValue = std::int64_t{1} << 50U;
 constexpr std::uint64_t maxAgeUs = 3'600'000'000;
 constexpr std::uint32_t maxInstances = 1'000'000;
@@ -104,6 +105,23 @@
     return true;
 }
 
+bool readFacts(const json &value, std::vector<Fact> &out)
+{
+    if (!value.is_array() || value.size() > maxFacts)
+        return false;
+    out.resize(value.size());
+    for (std::size_t n = 0; n < out.size(); ++n) {
+        const json &it = value[n];
+        const bool isFact = it.is_array() && it.size() == 4 && readKey(it[0], out[n].key)
+            && it[1].is_number_unsigned() && readBytes(it[2], out[n].bytes)
+            && readAge(it[3], out[n].lifetime);
+        if (!isFact)
+            return false;
+        out[n].generation = it[1].get<std::uint64_t>();
+    }
+    return true;
+}
+
 boost::leaf::error_id malformed(const char *what, const std::string &peer)
 {
     return fail({ErrorCode::InvalidRequest,
@@ -132,18 +150,28 @@
     json events = json::array();
     for (const Event &it : update.events)
         events.push_back({it.key, wire::binary(it.bytes), microseconds(it.age)});
-    return wire::toCbor(json::array({update.instances, std::move(levels), std::move(increments),
-                                     std::move(events), wire::binary(update.note)}));
+    json message = json::array({update.instances, std::move(levels), std::move(increments),
+                                std::move(events), wire::binary(update.note)});
+    // Instances of the version before facts accept messages without them.
+    if (update.facts.empty())
+        return wire::toCbor(message);
+    json facts = json::array();
+    for (const Fact &it : update.facts)
+        facts.push_back({it.key, it.generation, wire::binary(it.bytes), microseconds(it.lifetime)});
+    message.push_back(std::move(facts));
+    return wire::toCbor(message);
 }
 
 Result<Update> decodeUpdate(std::string_view bytes, const std::string &peer)
 {
     BOOST_LEAF_AUTO(value, wire::fromCbor(bytes, "overlay.decode", peer));
     Update update;
-    const bool isUpdate = value.is_array() && value.size() == 5 && value[0].is_number_unsigned()
-        && value[0].get<std::uint64_t>() <= maxInstances && readLevels(value[1], update.levels)
-        && readIncrements(value[2], update.increments) && readEvents(value[3], update.events)
-        && readBytes(value[4], update.note);
+    const bool hasFacts = value.is_array() && value.size() == 6;
+    const bool isUpdate = value.is_array() && (value.size() == 5 || hasFacts)
+        && value[0].is_number_unsigned() && value[0].get<std::uint64_t>() <= maxInstances
+        && readLevels(value[1], update.levels) && readIncrements(value[2], update.increments)
+        && readEvents(value[3], update.events) && readBytes(value[4], update.note)
+        && (!hasFacts || readFacts(value[5], update.facts));
     if (!isUpdate)
         return malformed("update", peer);
     update.instances = value[0].get<std::uint32_t>();
--- a/unittests/overlay/aggregatetest.cpp
+++ b/unittests/overlay/aggregatetest.cpp
@@ -213,3 +213,28 @@
     removeLink(it, parent);
     CHECK(connectedInstances(it) == 6);
 }
+
+TEST_CASE("a fact is held until it lapses, the newest generation wins, and extensions are few")
+{
+    Aggregate it = relay();
+    Update update;
+    update.facts = {{7, 1, "held", std::chrono::seconds(60)}};
+    applyUpdate(it, left, update, at(1'000));
+    CHECK(takeUpdate(it, left, at(1'100)).facts.empty());
+    REQUIRE(takeUpdate(it, right, at(1'100)).facts.size() == 1);
+    const Update toParent = takeUpdate(it, parent, at(11'000));
+    REQUIRE(toParent.facts.size() == 1);
+    CHECK(toParent.facts[0].lifetime == std::chrono::seconds(50));
+    CHECK_FALSE(setFact(it, {7, 1, "held", std::chrono::seconds(52)}, at(11'000)));
+    CHECK(setFact(it, {7, 1, "held", std::chrono::seconds(60)}, at(11'000)));
+    CHECK(setFact(it, {7, 2, "lifted", std::chrono::seconds(30)}, at(11'000)));
+    CHECK_FALSE(setFact(it, {7, 1, "held", std::chrono::minutes(50)}, at(11'000)));
+    CHECK(it.facts.at(7).bytes == "lifted");
+    addLink(it, 9, false, at(12'000));
+    CHECK(takeUpdate(it, 9, at(12'000)).facts.size() == 1);
+    removeLapsedFacts(it, at(42'000));
+    CHECK(it.facts.empty());
+    for (Key key = 0; key < 1'000; ++key)
+        setFact(it, {key, 1, "", std::chrono::minutes(1)}, at(43'000));
+    CHECK(it.facts.size() == it.config.maxFacts);
+}
--- a/unittests/overlay/messagestest.cpp
+++ b/unittests/overlay/messagestest.cpp
@@ -37,6 +37,7 @@
     update.levels = {{UINT64_MAX, -5, milliseconds(20)}, {1, 1'000'000, Duration(0)}};
     update.increments = {{3, -17'000}};
     update.events = {{9, std::string("\0bytes", 6), milliseconds(44)}};
+    update.facts = {{11, 3, "fact", std::chrono::minutes(10)}};
     update.note = "note";
     const Update read = orElse(
         [&] {
@@ -55,6 +56,10 @@
     REQUIRE(read.events.size() == 1);
     CHECK(read.events[0].bytes == update.events[0].bytes);
     CHECK(read.events[0].age == milliseconds(44));
+    REQUIRE(read.facts.size() == 1);
+    CHECK(read.facts[0].generation == 3);
+    CHECK(read.facts[0].bytes == "fact");
+    CHECK(read.facts[0].lifetime == std::chrono::minutes(10));
     CHECK(read.note == "note");
     const TreeNode node = orElse(
         [] {
--- a/unittests/overlay/networktest.cpp
+++ b/unittests/overlay/networktest.cpp
@@ -158,6 +158,33 @@
     CHECK(network.maxError(1) == 0);
 }
 
+TEST_CASE("a fact reaches instances that join later, and survives restarts of all in turn")
+{
+    constexpr std::size_t n = 30;
+    constexpr Key key = 42;
+    Network network(n, 3, 9);
+    network.run(seconds(2));
+    network.setCut("z1", true);
+    network.run(seconds(4));
+    network.member(0).setFact({key, 1, "fact", std::chrono::minutes(30)}, network.now());
+    network.run(seconds(1));
+    for (std::size_t it = 0; it < n; ++it)
+        CHECK(network.member(it).aggregate().facts.count(key)
+              == (network.tree(it).failureDomain == "z1" ? 0 : 1));
+    network.setCut("z1", false);
+    network.run(seconds(5));
+    for (std::size_t it = 0; it < n; ++it) {
+        network.kill(it);
+        network.listAll();
+        network.run(milliseconds(300));
+        network.restart(it);
+        network.listAll();
+        network.run(seconds(2));
+    }
+    for (std::size_t it = 0; it < n; ++it)
+        CHECK(network.member(it).aggregate().facts.count(key) == 1);
+}
+
 TEST_CASE("generated histories of kills, restarts, freezes and cuts end with one right tree")
 {
     for (std::uint64_t seed = 1; seed <= 12; ++seed) {
