Quarantine: requests with a part of a prompt that crashes servers are refused

Cause: failures were counted by server only. A request that crashes its server was handed to the next one, by its retry and by each other request like it; ejecting servers makes that worse. Change: lib/quarantine counts crashes by the parts of the requests that waited. A part is convicted by crashes at three moments without an answer to it; parts that were answered are cleared, of parts that occur together the least shared is convicted first, servers lost at one moment count once. Entries report crashes and answers as events, and hold verdicts as facts. A refusal is final (400, not run) and takes no tokens; requests that still wait are withdrawn from their servers; a suspect is not sent to a second server.

--- a/include/kumquathaven/base/error.h
+++ b/include/kumquathaven/base/error.h
@@ -33,6 +33,8 @@
     Timeout,
     Cancelled,
     Internal,
+    /// The request is likely to crash the server that runs it, and must not be sent again.
+    Quarantined,
 };
 
 /// Returns the name of a code, for example "rateLimited".
--- a/lib/base/error.cpp
+++ b/lib/base/error.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::array<EnumName<ErrorCode>, 19> errorCodeNames{{
+constexpr std::array<EnumName<ErrorCode>, 20> errorCodeNames{{
     {ErrorCode::InvalidRequest, "invalidRequest"},
     {ErrorCode::TooLarge, "tooLarge"},
     {ErrorCode::Unauthenticated, "unauthenticated"},
@@ -26,6 +26,7 @@
     {ErrorCode::Timeout, "timeout"},
     {ErrorCode::Cancelled, "cancelled"},
     {ErrorCode::Internal, "internal"},
+    {ErrorCode::Quarantined, "quarantined"},
 }};
 
 } // namespace
@@ -39,6 +40,7 @@
 {
     switch (code) {
     case ErrorCode::InvalidRequest:
+    case ErrorCode::Quarantined:
         return 400;
     case ErrorCode::Unauthenticated:
         return 401;
--- a/lib/gateway/endedservers.cpp
+++ b/lib/gateway/endedservers.cpp
@@ -16,32 +16,37 @@
 
 struct EndedServers::Check
 {
-    explicit Check(boost::asio::io_context &loop)
+    Check(boost::asio::io_context &loop, TimePoint now)
         : timer(loop)
+        , cutAt(now)
     { }
 
     boost::asio::steady_timer timer;
     std::shared_ptr<http::Connection> connection;
-    std::uint32_t requests = 1;
+    TimePoint cutAt;
+    /// Shared parts of the requests that were cut.
+    std::vector<std::vector<std::string>> requests;
 };
 
-EndedServers::EndedServers(boost::asio::io_context &loop, telemetry::Metrics &metrics)
+EndedServers::EndedServers(boost::asio::io_context &loop, telemetry::Metrics &metrics, Ended ended)
     : m_loop(loop)
+    , m_onEnded(std::move(ended))
     , m_ended(metrics.counter("kumquathaven_servers_ended_total",
                               "servers that ended under requests of this instance"))
     , m_alive(metrics.counter("kumquathaven_server_connections_lost_total",
                               "servers that cut requests of this instance and did not end"))
 { }
 
-void EndedServers::check(const Pick &pick)
+void EndedServers::check(const Pick &pick, const std::vector<std::string> &parts, TimePoint now)
 {
-    const auto [it, isNew] = m_checks.try_emplace(pick.start);
-    if (!isNew) {
-        ++it->second->requests;
+    const auto running = m_checks.find(pick.start);
+    if (running != m_checks.end()) {
+        running->second->requests.push_back(parts);
         return;
     }
-    const auto check = std::make_shared<Check>(m_loop);
-    it->second = check;
+    const auto check = std::make_shared<Check>(m_loop, now);
+    check->requests.push_back(parts);
+    m_checks[pick.start] = check;
     const std::weak_ptr<Check> weak = check;
     check->connection = http::Connection::connect(
         m_loop, pick.address, [this, weak, start = pick.start](bool isConnected) {
@@ -64,7 +69,9 @@
     (isAlive ? m_alive : m_ended).add();
     telemetry::logLine(telemetry::LogLevel::Warn, "servers",
                        isAlive ? "server cut requests" : "server ended under requests",
-                       {{"server", start}, {"requests", std::to_string(check->requests)}});
+                       {{"server", start}, {"requests", std::to_string(check->requests.size())}});
+    if (!isAlive)
+        m_onEnded(start, check->cutAt, check->requests);
 }
 
 } // namespace kumquathaven::gateway
--- a/lib/gateway/endedservers.h
+++ b/lib/gateway/endedservers.h
@@ -1,5 +1,5 @@
-// Tells the end of a server from the end of a connection: after a request was cut, one connection
-// is opened to its server. A server that ended refuses it.
+// Tells the end of a server from the end of a connection: after a request was cut before its answer
+// began, one connection is opened to its server. A server that ended refuses it.
 
 #ifndef KUMQUATHAVEN_LIB_GATEWAY_ENDEDSERVERS_H
 #define KUMQUATHAVEN_LIB_GATEWAY_ENDEDSERVERS_H
@@ -11,9 +11,11 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace kumquathaven::gateway {
 
@@ -21,13 +23,18 @@
 class EndedServers
 {
 public:
-    EndedServers(boost::asio::io_context &loop, telemetry::Metrics &metrics);
+    /// Called with a server that ended, when the first of its requests was cut, and the shared
+    /// parts of each of these.
+    using Ended = std::function<void(const std::string &start, TimePoint at,
+                                     const std::vector<std::vector<std::string>> &requests)>;
+
+    EndedServers(boost::asio::io_context &loop, telemetry::Metrics &metrics, Ended ended);
     EndedServers(const EndedServers &) = delete;
     EndedServers &operator=(const EndedServers &) = delete;
 
     /// Checks whether the server of a request whose connection ended has ended itself. Requests
     /// that are cut together share one check.
-    void check(const Pick &pick);
+    void check(const Pick &pick, const std::vector<std::string> &parts, TimePoint now);
 
 private:
     struct Check;
@@ -35,6 +42,7 @@
     void finish(const std::string &start, bool isAlive);
 
     boost::asio::io_context &m_loop;
+    const Ended m_onEnded;
     telemetry::Counter &m_ended;
     telemetry::Counter &m_alive;
     /// Running checks by start of the server.
--- a/lib/gateway/exchange.cpp
+++ b/lib/gateway/exchange.cpp
@@ -44,6 +44,7 @@
 
 Exchange::~Exchange()
 {
+    stopWaiting();
     --m_gateway.running;
 }
 
@@ -53,6 +54,7 @@
     const bool isKnown = orElse(
         [&]() -> Result<bool> {
             BOOST_LEAF_CHECK(identify());
+            BOOST_LEAF_CHECK(checkQuarantine());
             BOOST_LEAF_CHECK(consumeTokens());
             return true;
         },
@@ -96,6 +98,14 @@
     return {};
 }
 
+Result<void> Exchange::checkQuarantine()
+{
+    m_sharedParts = sharedPartNames(m_callerHead);
+    if (m_sharedParts.empty())
+        return {};
+    return m_gateway.quarantine.admit(m_sharedParts, m_arrivedAt);
+}
+
 Result<void> Exchange::consumeTokens()
 {
     if (m_customer == nullptr)
@@ -141,6 +151,17 @@
     close(telemetry::LogLevel::Info, "caller disconnected");
 }
 
+void Exchange::partConvicted(const std::string &part)
+{
+    if (m_isFinished || m_hasAnswerBegun)
+        return;
+    endAttempt(AttemptEnd::Abandoned);
+    const auto &verdicts = m_gateway.quarantine.evidence().verdicts;
+    const auto verdict = verdicts.find(part);
+    endWithError(
+        quarantinedError(part, verdict == verdicts.end() ? 0 : verdict->second.crashes, m_outcome));
+}
+
 void Exchange::instanceEnds()
 {
     if (m_isFinished)
@@ -227,25 +248,19 @@
     telemetry::logLine(level, "request", what, all);
 }
 
-/// Returns the ids of the parts of the prompt that other requests may share.
-std::string Exchange::sharedPartsText() const
-{
-    std::string text;
-    for (std::size_t n = 0; n + 1 < m_callerHead.prompt.size(); ++n)
-        text += (n == 0 ? "" : ",") + m_callerHead.prompt[n].id;
-    return text;
-}
-
 /// Logs the server that the request is sent to and the data behind that decision.
 void Exchange::logAttempt() const
 {
+    std::string parts;
+    for (const std::string &it : m_sharedParts)
+        parts += (parts.empty() ? "" : ",") + it;
     const TimePoint now = monotonicNow();
     log(telemetry::LogLevel::Info, "sent",
         {{"send", std::to_string(m_attempts)},
          {"server", m_pick->serverId},
          {"address", settings::toString(m_pick->address)},
          {"choice", m_pick->reason},
-         {"parts", sharedPartsText()},
+         {"parts", parts},
          {"listAgeMs", millisecondsText(now - m_gateway.servers.listReadAt)},
          {"configuration", std::to_string(m_plan->plan.version)},
          {"timeLeftMs", millisecondsText(timeLeft(now))}});
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -21,6 +21,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace kumquathaven::gateway {
 
@@ -43,6 +44,10 @@
     /// exchange is finished.
     void instanceEnds();
 
+    /// Called when a part of its prompt was found to crash servers. Ends the running attempt before
+    /// its server begins to answer it.
+    void partConvicted(const std::string &part);
+
     /// Called when the output that was queued for the caller has been sent. Resumes reading from
     /// the server.
     void callerDrained();
@@ -50,6 +55,7 @@
 private:
     // exchange.cpp: from the request to the first attempt, and the end of the exchange.
     Result<void> identify();
+    Result<void> checkQuarantine();
     Result<void> consumeTokens();
     void armDeadline();
     void deadlinePassed();
@@ -64,6 +70,8 @@
     void armMoveTimer();
     void moveToOtherServer();
     void endAttempt(AttemptEnd end);
+    void startWaiting();
+    void stopWaiting();
 
     // exchangeanswer.cpp: answers of servers.
     void handleHead(const http::Head &head, const deployment::AnswerHead &answer);
@@ -74,6 +82,7 @@
     void handleFailure(CallFailure failure);
     void forward(std::string bytes);
     void forwardHead();
+    void recordAnswerBegun();
     void recordCallerPause(TimePoint now);
     void recordServerPause(TimePoint now);
 
@@ -83,7 +92,6 @@
     void close(telemetry::LogLevel level, const char *what, telemetry::LogFields fields = {});
     /// Writes a log line with the fields that identify this request.
     void log(telemetry::LogLevel level, const char *what, telemetry::LogFields fields) const;
-    std::string sharedPartsText() const;
     void logAttempt() const;
     void logAttemptEnd(AttemptEnd end) const;
     bool isStream() const { return m_route->kind == deployment::RequestKind::Streaming; }
@@ -100,6 +108,8 @@
     const deployment::Route *m_route = nullptr;
     const deployment::Customer *m_customer = nullptr;
     deployment::CallerHead m_callerHead;
+    /// Names of the parts of the prompt that other requests may share.
+    std::vector<std::string> m_sharedParts;
     TimePoint m_deadline{};
     /// Number of tokens that the request counts as against the rate of its customer.
     std::uint64_t m_tokens = 0;
@@ -112,6 +122,8 @@
     std::shared_ptr<UpstreamCall> m_call;
     TimePoint m_sentAt{};
     bool m_hasFirstToken = false;
+    /// Whether so much of the answer to this attempt arrived that its prompt crashes no server.
+    bool m_hasAnswerBegun = false;
     /// Whether the server answered with an error of its own.
     bool m_isServerError = false;
     /// Whether the answer to this attempt has neither a length nor chunks.
@@ -141,6 +153,9 @@
     EventFramer m_eventFramer;
 };
 
+/// Ends the requests with convicted parts that wait at servers.
+void endConvicted(Gateway &gateway, const std::vector<std::string> &parts);
+
 } // namespace kumquathaven::gateway
 
 #endif // KUMQUATHAVEN_LIB_GATEWAY_EXCHANGE_H
--- a/lib/gateway/exchangeanswer.cpp
+++ b/lib/gateway/exchangeanswer.cpp
@@ -17,6 +17,9 @@
 constexpr Duration serverFullRetryAfter = std::chrono::milliseconds(200);
 constexpr int statusOk = 200;
 constexpr int statusServerError = 500;
+/// A server may crash in the middle of the first events that it writes. Its answer has begun with
+/// this many whole events.
+constexpr std::size_t minEventsOfAnswer = 2;
 
 } // namespace
 
@@ -101,6 +104,8 @@
     const bool isEvents = isStream() && m_answerHead->status == statusOk;
     if (isEvents) {
         m_eventBoundary.feed(bytes);
+        if (m_eventBoundary.eventCount() >= minEventsOfAnswer)
+            recordAnswerBegun();
         recordServerPause(monotonicNow());
     }
     if (!isEvents || !m_route->resumable) {
@@ -148,6 +153,15 @@
         recordPause(m_gateway.servers, *m_pick, *pause);
 }
 
+/// Records that the prompt crashed no server.
+void Exchange::recordAnswerBegun()
+{
+    if (std::exchange(m_hasAnswerBegun, true) || m_sharedParts.empty())
+        return;
+    stopWaiting();
+    m_gateway.quarantine.recordAnswer(m_sharedParts, monotonicNow());
+}
+
 void Exchange::recordCallerPause(TimePoint now)
 {
     const TimePoint before = std::exchange(m_lastForwardedAt, now);
@@ -190,6 +204,8 @@
     }
     const std::string remainder = m_eventFramer.takePartial() + std::exchange(m_bufferedBody, {});
     forwardHead();
+    if (!m_isServerError)
+        recordAnswerBegun();
     endAttempt(m_isServerError ? AttemptEnd::ServerError : AttemptEnd::Answered);
     const auto caller = m_caller.lock();
     m_gateway.counters.answered.add();
@@ -214,15 +230,20 @@
         send();
         return;
     }
-    if (m_pick && failure != CallFailure::Malformed)
-        m_gateway.endedServers.check(*m_pick);
+    const TimePoint now = monotonicNow();
+    const bool mayHaveCrashed = m_pick && failure != CallFailure::Malformed && !m_hasAnswerBegun
+        && !m_sharedParts.empty() && !isLeaving(m_gateway.servers, m_pick->start);
+    if (mayHaveCrashed)
+        m_gateway.endedServers.check(*m_pick, m_sharedParts, now);
     const AttemptEnd end =
         failure == CallFailure::StaleConnection ? AttemptEnd::Answered : AttemptEnd::Cut;
     m_eventFramer.takePartial();
     m_bufferedBody.clear();
     if (!m_isHeadSent)
         m_answerHead.reset();
-    if (m_pick && retry(end, Outcome::Unknown)) {
+    const bool isSuspect =
+        mayHaveCrashed && !m_gateway.quarantine.mayRetryAfterCrash(m_sharedParts, now);
+    if (m_pick && !isSuspect && retry(end, Outcome::Unknown)) {
         if (m_isHeadSent)
             m_gateway.counters.resumed.add();
         return;
--- a/lib/gateway/exchangesend.cpp
+++ b/lib/gateway/exchangesend.cpp
@@ -85,6 +85,7 @@
     m_hasFirstToken = false;
     m_isServerError = false;
     m_eventBoundary = {};
+    startWaiting();
     logAttempt();
     m_call = std::make_shared<UpstreamCall>(m_gateway.loop, m_gateway.pool,
                                             m_gateway.dialect.requests.readAnswer);
@@ -174,6 +175,9 @@
     const TimePoint now = monotonicNow();
     const bool isAllowed =
         m_attempts < m_route->attempts && (outcome == Outcome::NotRun || mayRetry());
+    // A part of the prompt may have been convicted since the last attempt.
+    if (m_gateway.quarantine.isConvicted(m_sharedParts, now))
+        return false;
     // Another server can resume a stream only after an event with an id.
     const bool cannotResume = m_isHeadSent && m_eventFramer.lastId().empty();
     if (!isAllowed || cannotResume || timeLeft(now) < minTimeLeft)
@@ -221,10 +225,42 @@
     send();
 }
 
+void Exchange::startWaiting()
+{
+    m_hasAnswerBegun = false;
+    for (const std::string &it : m_sharedParts)
+        m_gateway.waitingByPart[it].insert(this);
+}
+
+void Exchange::stopWaiting()
+{
+    for (const std::string &part : m_sharedParts) {
+        const auto it = m_gateway.waitingByPart.find(part);
+        if (it != m_gateway.waitingByPart.end() && it->second.erase(this) > 0 && it->second.empty())
+            m_gateway.waitingByPart.erase(it);
+    }
+}
+
+void endConvicted(Gateway &gateway, const std::vector<std::string> &parts)
+{
+    for (const std::string &part : parts) {
+        const auto waiting = gateway.waitingByPart.find(part);
+        if (waiting == gateway.waitingByPart.end())
+            continue;
+        // Exchanges leave the set as they end.
+        std::vector<std::shared_ptr<Exchange>> exchanges;
+        for (Exchange *it : waiting->second)
+            exchanges.push_back(it->shared_from_this());
+        for (const auto &it : exchanges)
+            it->partConvicted(part);
+    }
+}
+
 /// Ends the running attempt, if there is one.
 void Exchange::endAttempt(AttemptEnd end)
 {
     m_moveTimer.cancel();
+    stopWaiting();
     if (m_call) {
         // It is unknown whether a server that gave no answer ran the request.
         const bool isNotRun = end == AttemptEnd::Refused || end == AttemptEnd::Misdirected;
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -60,7 +60,12 @@
     , dialect(d)
     , metrics(m)
     , limits(l)
-    , endedServers(loop, metrics)
+    , quarantine(m)
+    , endedServers(loop, m,
+                   [this](const std::string &start, TimePoint at,
+                          const std::vector<std::vector<std::string>> &requests) {
+                       quarantine.recordCrash(start, requests, at);
+                   })
     , counters(m)
     , gauges(m)
 {
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "kumquathaven/telemetry/metrics.h"
 #include "leaving.h"
 #include "overload.h"
+#include "partquarantine.h"
 #include "retrybudget.h"
 #include "servers.h"
 #include "tokenlimits.h"
@@ -23,10 +24,13 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace kumquathaven::gateway {
 
+class Exchange;
+
 /// The plan in force with its lookup indexes.
 struct PlanInForce
 {
@@ -98,7 +102,11 @@
     std::shared_ptr<const PlanInForce> plan;
     Servers servers;
     UpstreamPool pool;
+    PartQuarantine quarantine;
     EndedServers endedServers;
+    /// Requests that were sent and whose answer has not begun, by the shared parts of their
+    /// prompts.
+    std::map<std::string, std::set<Exchange *>> waitingByPart;
     /// Retry budgets by service.
     std::map<std::string, RetryBudget> retryBudgets;
     RetryRules retryRules;
--- a/lib/gateway/gatewayrole.cpp
+++ b/lib/gateway/gatewayrole.cpp
@@ -1,5 +1,6 @@
 #include "kumquathaven/gateway/gatewayrole.h"
 
+#include "exchange.h"
 #include "firstplan.h"
 #include "gateway.h"
 #include "listener.h"
@@ -197,6 +198,7 @@
 {
     const TimePoint now = monotonicNow();
     applyView(now);
+    endConvicted(gateway, gateway.quarantine.judge(now));
     peers.tick(now);
     stores.tick(now);
     running = gateway.running;
--- /dev/null
+++ b/lib/gateway/partquarantine.h
@@ -0,0 +1,110 @@
+// Refuses requests with parts of prompts that crash servers, and keeps what is to be told to the
+// other instances about such parts.
+
+#ifndef KUMQUATHAVEN_LIB_GATEWAY_PARTQUARANTINE_H
+#define KUMQUATHAVEN_LIB_GATEWAY_PARTQUARANTINE_H
+
+#include "kumquathaven/base/result.h"
+#include "kumquathaven/deployment/request.h"
+#include "kumquathaven/quarantine/evidence.h"
+#include "kumquathaven/telemetry/metrics.h"
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace kumquathaven::gateway {
+
+/// Suspects of one crash, as one instance saw it.
+struct CrashReport
+{
+    std::string start;
+    std::vector<quarantine::Suspect> suspects;
+};
+
+/// A suspected part that an instance saw answered, and how long ago.
+struct AnsweredPart
+{
+    std::string part;
+    Duration age{0};
+};
+
+/// A verdict about a part, or its lifting.
+struct PartVerdict
+{
+    std::string part;
+    quarantine::Verdict verdict;
+};
+
+/// What the other instances must be told.
+struct QuarantineNews
+{
+    std::vector<CrashReport> crashes;
+    std::vector<AnsweredPart> answered;
+    std::vector<PartVerdict> verdicts;
+};
+
+/// Returns the names of the parts of a prompt that other requests may share: all except the last.
+std::vector<std::string> sharedPartNames(const deployment::CallerHead &head);
+
+/// Used on the loop's thread only.
+class PartQuarantine
+{
+public:
+    explicit PartQuarantine(telemetry::Metrics &metrics);
+
+    /// Fails with Quarantined if a part of the request crashes servers, and with Overloaded while
+    /// that is being decided.
+    Result<void> admit(const std::vector<std::string> &parts, TimePoint now);
+
+    /// Returns whether a request whose server may have crashed may be sent to another one.
+    bool mayRetryAfterCrash(const std::vector<std::string> &parts, TimePoint now) const;
+
+    /// Returns whether a part of the request is convicted.
+    bool isConvicted(const std::vector<std::string> &parts, TimePoint now) const;
+
+    /// Records that a server began to answer a request.
+    void recordAnswer(const std::vector<std::string> &parts, TimePoint now);
+
+    /// Records that a server crashed under requests of this instance.
+    void recordCrash(const std::string &start,
+                     const std::vector<std::vector<std::string>> &requests, TimePoint at);
+
+    /// Apply what other instances observed. The last one returns whether requests with the part are
+    /// refused from now on.
+    void applyReport(const CrashReport &report, TimePoint at, TimePoint now);
+    void applyAnswer(const std::string &part, TimePoint at);
+    bool applyVerdict(const PartVerdict &verdict, TimePoint now);
+
+    /// Convicts the parts for which there is enough evidence. Returns them.
+    std::vector<std::string> judge(TimePoint now);
+
+    /// Lifts a verdict. Returns false if there is none.
+    bool lift(const std::string &part, TimePoint now);
+
+    /// Returns what was not told to the other instances yet.
+    QuarantineNews takeNews(TimePoint now);
+
+    const quarantine::Evidence &evidence() const { return m_evidence; }
+
+private:
+    void queueAnswers(const std::vector<std::string> &parts);
+
+    quarantine::Evidence m_evidence;
+    std::vector<CrashReport> m_unreportedCrashes;
+    std::set<std::string> m_unreportedAnswers;
+    std::set<std::string> m_changedVerdicts;
+    telemetry::Counter &m_refused;
+    telemetry::Counter &m_convicted;
+    telemetry::Counter &m_lifted;
+    telemetry::Gauge &m_inForce;
+    telemetry::Gauge &m_dropped;
+};
+
+/// Returns the error for a request with a part that crashes servers.
+Error quarantinedError(const std::string &part, std::uint32_t crashes, Outcome outcome);
+
+} // namespace kumquathaven::gateway
+
+#endif // KUMQUATHAVEN_LIB_GATEWAY_PARTQUARANTINE_H
--- a/lib/gateway/peermessages.cpp
+++ b/lib/gateway/peermessages.cpp
@@ -1,5 +1,7 @@
 #include "peermessages.h"
 
+#include "exchange.h"
+
 #include "kumquathaven/overlay/messages.h"
 #include "kumquathaven/telemetry/log.h"
 
@@ -77,7 +79,12 @@
     Servers &servers = m_gateway.servers;
     for (const auto &[start, tokens] : takeChangedBacklogs(servers))
         m_member.setLevel(backlogKey(start), static_cast<std::int64_t>(tokens), now);
-    const PeerUpdate update = takeUpdate(servers, m_self.name);
+    PeerUpdate update = takeUpdate(servers, m_self.name);
+    QuarantineNews news = m_gateway.quarantine.takeNews(now);
+    update.crashes = std::move(news.crashes);
+    update.answered = std::move(news.answered);
+    for (const PartVerdict &it : news.verdicts)
+        m_member.setFact(encodeVerdict(it, now), now);
     for (const ServerObservation &it : update.observations)
         logObservation(it);
     for (const overlay::Event &it : encodeEvents(update))
@@ -113,6 +120,8 @@
     }
     for (const overlay::Event &it : effects.events)
         applyEvent(it, now);
+    for (const overlay::Fact &it : effects.facts)
+        applyVerdict(it, now);
     for (const overlay::Increment &it : effects.increments) {
         if (!applyOutcomesOfOthers(m_gateway.servers, it.key, it.amount, now))
             m_gateway.limits.applySpendingOfOthers(it.key, it.amount, now);
@@ -138,6 +147,7 @@
         [&]() -> Result<bool> {
             BOOST_LEAF_AUTO(update, decodeEvent(event.bytes, m_member.parent()));
             applyPeerUpdate(m_gateway.servers, update, now);
+            applyQuarantineNews(update, event.age, now);
             for (const ServerObservation &it : update.observations)
                 m_gateway.metrics
                     .counter("kumquathaven_server_findings_total",
@@ -153,6 +163,30 @@
         m_gateway.counters.malformedFrames.add();
 }
 
+void PeerMessages::applyQuarantineNews(const PeerUpdate &update, Duration age, TimePoint now)
+{
+    for (const CrashReport &it : update.crashes)
+        m_gateway.quarantine.applyReport(it, now - age, now);
+    for (const AnsweredPart &it : update.answered)
+        m_gateway.quarantine.applyAnswer(it.part, now - age - it.age);
+}
+
+void PeerMessages::applyVerdict(const overlay::Fact &fact, TimePoint now)
+{
+    const bool isApplied = orElse(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_AUTO(verdict, decodeVerdict(fact, m_member.parent(), now));
+            if (m_gateway.quarantine.applyVerdict(verdict, now))
+                endConvicted(m_gateway, {verdict.part});
+            return true;
+        },
+        [](const Error &) {
+            return false;
+        });
+    if (!isApplied)
+        m_gateway.counters.malformedFrames.add();
+}
+
 void PeerMessages::connect(const std::string &name)
 {
     const auto it = m_addresses.find(name);
--- a/lib/gateway/peermessages.h
+++ b/lib/gateway/peermessages.h
@@ -47,6 +47,8 @@
     void disconnect(const std::string &name);
     std::string uplinkOf(wire::LinkId link) const;
     void applyEvent(const overlay::Event &event, TimePoint now);
+    void applyQuarantineNews(const PeerUpdate &update, Duration age, TimePoint now);
+    void applyVerdict(const overlay::Fact &fact, TimePoint now);
     void applyLevels(TimePoint now);
     void publish(TimePoint now);
     void shareList(TimePoint now);
--- a/lib/gateway/peerupdate.h
+++ b/lib/gateway/peerupdate.h
@@ -12,6 +12,7 @@
 #include "kumquathaven/base/result.h"
 #include "kumquathaven/base/time.h"
 #include "kumquathaven/overlay/aggregate.h"
+#include "partquarantine.h"
 #include "servers.h"
 
 #include <string>
@@ -30,6 +31,9 @@
     std::vector<ServerObservation> observations;
     /// Paces of servers that sent this instance enough chunks since its last report of them.
     std::vector<ServerPace> paces;
+    /// Crashes of servers, and suspected parts that were answered nevertheless.
+    std::vector<CrashReport> crashes;
+    std::vector<AnsweredPart> answered;
 };
 
 /// Returns the unreported data of \p instance and removes it from \p servers.
@@ -47,6 +51,11 @@
 /// event was received.
 Result<PeerUpdate> decodeEvent(std::string_view bytes, const std::string &peer);
 
+/// Encodes a verdict as a fact, and decodes its bytes. The error is InvalidRequest.
+overlay::Fact encodeVerdict(const PartVerdict &verdict, TimePoint now);
+Result<PartVerdict> decodeVerdict(const overlay::Fact &fact, const std::string &peer,
+                                  TimePoint now);
+
 } // namespace kumquathaven::gateway
 
 #endif // KUMQUATHAVEN_LIB_GATEWAY_PEERUPDATE_H
--- a/lib/gateway/servers.cpp
+++ b/lib/gateway/servers.cpp
@@ -477,6 +477,13 @@
         queueObservation(servers, {pick.start, ObservationKind::Leaving, {}, 0});
 }
 
+bool isLeaving(const Servers &servers, const std::string &start)
+{
+    const auto it = servers.known.find(start);
+    return servers.leavingSince.count(start) > 0
+        || (it != servers.known.end() && it->second.listed.isDraining);
+}
+
 void recordPauseRequest(Servers &servers, const Pick &pick, Duration pause, TimePoint now)
 {
     const auto it = servers.known.find(pick.start);
--- a/lib/gateway/servers.h
+++ b/lib/gateway/servers.h
@@ -326,6 +326,9 @@
 /// Records that a server said that it is about to stop. It gets no new requests.
 void recordLeaving(Servers &servers, const Pick &pick, TimePoint now);
 
+/// Returns whether a server was announced to stop.
+bool isLeaving(const Servers &servers, const std::string &start);
+
 /// Records that a server accepts no requests of this instance for a time.
 void recordPauseRequest(Servers &servers, const Pick &pick, Duration pause, TimePoint now);
 
--- a/unittests/gateway/exchangefixture.h
+++ b/unittests/gateway/exchangefixture.h
@@ -62,6 +62,7 @@
     /// Called with the connection and the request.
     std::function<void(Peer &, const std::string &)> answer;
     std::vector<std::string> requests;
+    bool isCut = false;
     std::vector<std::unique_ptr<Peer>> connections;
 
 private:
@@ -73,11 +74,13 @@
 /// Settings of an instance on a platform.
 settings::Settings platformSettings();
 /// A dialect whose fields are "Id" of requests and answers, "Timeout" in milliseconds, "Prompt"
-/// with the ids of parts of 100 tokens, "Resume" and "Not-Run". Refusals are 503 for what has not run, else 502.
+/// with the ids of parts of 100 tokens, "Resume" and "Not-Run". Refusals are 503 for what has not
+/// run, else 502.
 deployment::Dialect testDialect();
 
 /// A gateway with a plain service "app" and an engine service "lm". Routes: "read" (idempotent),
-/// "write" (not idempotent) and "ask" (resumable streams), each under a path of its name.
+/// "write" (not idempotent), "ask" (resumable streams) and "review" (others), each under a path of
+/// its name.
 class ExchangeFixture
 {
 public:
--- a/unittests/gateway/exchangetest.cpp
+++ b/unittests/gateway/exchangetest.cpp
@@ -3,6 +3,7 @@
 #include "exchangefixture.h"
 
 #include "eventframer.h"
+#include "exchange.h"
 
 #include <doctest/doctest.h>
 
@@ -207,14 +208,14 @@
         isEnd = true;
     }
     SUBCASE("the server cuts the connection") { }
-    t.apps[0]->answer = [&](Peer &peer, const std::string &) {
+    t.engines[0]->answer = [&](Peer &peer, const std::string &) {
         if (isEnd)
-            t.apps[0]->cut();
+            t.engines[0]->cut();
         else
             peer.reset();
     };
     Peer &caller = t.connect();
-    caller.send(ExchangeFixture::request("write", "w1"));
+    caller.send(ExchangeFixture::request("ask", "r1", "Prompt: a,b\r\n"));
     const std::string ended = "kumquathaven_servers_ended_total";
     const std::string alive = "kumquathaven_server_connections_lost_total";
     const auto counted = [&](const std::string &name) {
@@ -225,6 +226,53 @@
     }));
     CHECK(counted(ended) == isEnd);
     CHECK(counted(alive) != isEnd);
+    CHECK((crashCount(t.gateway.quarantine.evidence(), "a") == 1) == isEnd);
+}
+
+// Guards against requests that crash each server that begins to answer them.
+TEST_CASE("a prompt that crashes servers is refused before its tokens are taken, others are served")
+{
+    ExchangeFixture t(8);
+    const auto answer = [&](TestServer &server, Peer &peer, const std::string &request) {
+        peer.send(streamHead(fieldOf(request, "Id")));
+        if (request.find("bad") == std::string::npos) {
+            peer.send(streamEvent(1) + streamEvent(2) + "0\r\n\r\n");
+            return;
+        }
+        peer.send("5\r\nid: 1\r\n");
+        server.cut();
+    };
+    for (const auto &it : t.engines)
+        it->answer = [&answer, server = it.get()](Peer &peer, const std::string &request) {
+            answer(*server, peer, request);
+        };
+    const auto send = [&](const std::string &id, const std::string &prompt) {
+        Peer &caller = t.connect();
+        caller.send(ExchangeFixture::request("ask", id, "Prompt: " + prompt + "\r\n"));
+        REQUIRE(t.runUntil([&] {
+            endConvicted(t.gateway, t.gateway.quarantine.judge(monotonicNow()));
+            return caller.received.find("\r\n\r\n") != std::string::npos;
+        }));
+        return caller.received.substr(9, 3);
+    };
+    const auto pause = [&] {
+        t.runUntil(
+            [] {
+                return false;
+            },
+            milliseconds(450));
+    };
+    // The first request may be sent to a second server, at the same moment.
+    for (const std::string id : {"r1", "r2", "r3"}) {
+        CHECK(send(id, "common,bad," + id) == "502");
+        pause();
+    }
+    std::size_t crashed = 0;
+    for (const auto &it : t.engines)
+        crashed += it->isCut ? 1 : 0;
+    CHECK(crashed == 4);
+    CHECK(send("s1", "common,other,s1") == "200");
+    CHECK(send("r4", "other,bad,r4") == "400");
 }
 
 // Guards against a buffer that grows for as long as a faulty server sends.
--- /dev/null
+++ b/unittests/quarantine/evidencetest.cpp
@@ -0,0 +1,241 @@
+// Rules by which parts of prompts are convicted, one by one.
+
+#include "kumquathaven/quarantine/evidence.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+using namespace kumquathaven;
+using namespace kumquathaven::quarantine;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr TimePoint begin{seconds(1'000)};
+
+std::vector<Suspect> suspects(const std::vector<std::string> &parts)
+{
+    std::vector<Suspect> out;
+    for (const std::string &it : parts)
+        out.push_back({it, static_cast<std::uint32_t>(out.size())});
+    return out;
+}
+
+/// Records crashes of different servers, each half a second after the one before. Returns the time
+/// at which they are judged.
+TimePoint crash(Evidence &evidence, std::size_t count, const std::vector<std::string> &parts,
+                TimePoint from = begin)
+{
+    static int next = 0;
+    for (std::size_t n = 0; n < count; ++n) {
+        recordCrash(evidence, "s" + std::to_string(next++), suspects(parts), from);
+        from += milliseconds(500);
+    }
+    return from;
+}
+
+using Parts = std::vector<std::string>;
+
+} // namespace
+
+TEST_CASE("a part is convicted by crashes at three moments, and requests with it are refused")
+{
+    Evidence evidence;
+    TimePoint now = crash(evidence, 2, {"bad"});
+    CHECK(judge(evidence, now).empty());
+    CHECK(admit(evidence, {"bad"}, now) == Admission::Allowed);
+    now = crash(evidence, 1, {"bad"}, now);
+    CHECK(judge(evidence, now - milliseconds(200)).empty());
+    CHECK(admit(evidence, {"bad"}, now) == Admission::Pending);
+    CHECK(judge(evidence, now) == Parts{"bad"});
+    CHECK(admit(evidence, {"other", "bad"}, now) == Admission::Refused);
+    CHECK(admit(evidence, {"other"}, now) == Admission::Allowed);
+}
+
+TEST_CASE("servers that are lost at one moment convict no part")
+{
+    Evidence evidence;
+    for (int n = 0; n < 40; ++n)
+        recordCrash(evidence, std::to_string(n), suspects({"sound"}), begin + milliseconds(3 * n));
+    CHECK(judge(evidence, begin + seconds(2)).empty());
+}
+
+TEST_CASE("a burst convicts the part that its crashes have in common, and no other")
+{
+    Evidence evidence;
+    for (int n = 0; n < 8; ++n)
+        recordCrash(evidence, std::to_string(n), suspects({n % 2 == 0 ? "even" : "odd", "bad"}),
+                    begin + milliseconds(30 * n));
+    CHECK(judge(evidence, begin + seconds(1)) == Parts{"bad"});
+}
+
+TEST_CASE("reports of several instances of one crash count once")
+{
+    Evidence evidence;
+    for (int n = 0; n < 5; ++n)
+        recordCrash(evidence, "s", suspects({"sound"}), begin + milliseconds(400 * n));
+    CHECK(crashCount(evidence, "sound") == 1);
+    CHECK(judge(evidence, begin + seconds(5)).empty());
+}
+
+TEST_CASE("an answer clears a part of the crashes before it")
+{
+    Evidence evidence;
+    TimePoint now = crash(evidence, 2, {"sound"});
+    SUBCASE("seen here")
+    {
+        CHECK(recordAnswer(evidence, {"sound"}, now) == Parts{"sound"});
+        CHECK(recordAnswer(evidence, {"sound"}, now).empty());
+    }
+    SUBCASE("seen elsewhere")
+    {
+        recordAnswerElsewhere(evidence, "sound", now);
+    }
+    now = crash(evidence, 2, {"sound"}, now + milliseconds(1));
+    CHECK(judge(evidence, now).empty());
+}
+
+TEST_CASE("a part that was answered before takes more crashes, and is told of")
+{
+    Evidence evidence;
+    recordAnswer(evidence, {"old"}, begin - seconds(30));
+    const std::vector<Suspect> reported = suspects({"old"});
+    CHECK(recordCrash(evidence, "a", reported, begin).empty());
+    CHECK(recordCrash(evidence, "b", reported, begin + seconds(1)) == Parts{"old"});
+    TimePoint now = crash(evidence, 2, {"old"}, begin + seconds(2));
+    CHECK(judge(evidence, now).empty());
+    now = crash(evidence, 1, {"old"}, now);
+    CHECK(judge(evidence, now) == Parts{"old"});
+}
+
+TEST_CASE("the parts of a request that was answered a moment ago are not reported")
+{
+    Evidence evidence;
+    recordAnswer(evidence, {"system"}, begin);
+    const auto reported = suspectsOf(evidence, {"system", "bad"}, begin + seconds(1));
+    REQUIRE(reported.size() == 1);
+    CHECK(reported[0].part == "bad");
+    CHECK(reported[0].position == 1);
+    CHECK(suspectsOf(evidence, {"system", "bad"}, begin + minutes(1)).size() == 2);
+}
+
+TEST_CASE("of parts that always occur together the later one is convicted first")
+{
+    Evidence evidence;
+    TimePoint now = crash(evidence, 3, {"common", "bad"});
+    CHECK(judge(evidence, now) == Parts{"bad"});
+    CHECK(admit(evidence, {"common", "sound"}, now) == Admission::Allowed);
+    SUBCASE("the earlier one is sound")
+    {
+        recordAnswer(evidence, {"common"}, now);
+        now = crash(evidence, 2, {"common", "sound"}, now);
+        CHECK(judge(evidence, now).empty());
+    }
+    SUBCASE("the earlier one is the cause")
+    {
+        now = crash(evidence, 1, {"common", "sound"}, now);
+        CHECK(judge(evidence, now) == Parts{"common"});
+    }
+}
+
+TEST_CASE("crashes that a convicted part explains count against no other")
+{
+    Evidence evidence;
+    TimePoint now = crash(evidence, 2, {"neighbour", "bad"});
+    now = crash(evidence, 1, {"bad"}, now);
+    CHECK(judge(evidence, now) == Parts{"bad"});
+    CHECK(crashCount(evidence, "neighbour") == 0);
+    // A request that was under way as the part was convicted.
+    recordCrash(evidence, "late", suspects({"bad"}), now);
+    recordCrash(evidence, "late", suspects({"neighbour"}), now);
+    CHECK(crashCount(evidence, "neighbour") == 0);
+}
+
+TEST_CASE("a verdict lasts while requests with the part come, and lapses after")
+{
+    Evidence evidence;
+    TimePoint now = crash(evidence, 3, {"bad"});
+    judge(evidence, now);
+    for (int n = 0; n < 50; ++n) {
+        now += evidence.policy.verdictLifetime - seconds(1);
+        judge(evidence, now);
+        REQUIRE(admit(evidence, {"bad"}, now) == Admission::Refused);
+    }
+    now += evidence.policy.verdictLifetime;
+    judge(evidence, now);
+    CHECK(admit(evidence, {"bad"}, now) == Admission::Allowed);
+    CHECK(evidence.verdicts.empty());
+}
+
+TEST_CASE("an answer and an operator lift a verdict everywhere, and a new one is newer")
+{
+    Evidence evidence;
+    TimePoint now = crash(evidence, 3, {"bad"});
+    judge(evidence, now);
+    Evidence other;
+    CHECK(applyVerdict(other, "bad", evidence.verdicts.at("bad")));
+    CHECK_FALSE(applyVerdict(other, "bad", evidence.verdicts.at("bad")));
+    CHECK(admit(other, {"bad"}, now) == Admission::Refused);
+    const Verdict before = evidence.verdicts.at("bad");
+    SUBCASE("an answer")
+    {
+        CHECK(recordAnswer(evidence, {"bad"}, now) == Parts{"bad"});
+    }
+    SUBCASE("an operator")
+    {
+        CHECK(lift(evidence, "bad", now));
+        CHECK_FALSE(lift(evidence, "bad", now));
+    }
+    CHECK(applyVerdict(other, "bad", evidence.verdicts.at("bad")));
+    CHECK(admit(other, {"bad"}, now) == Admission::Allowed);
+    CHECK_FALSE(applyVerdict(other, "bad", before));
+    CHECK(admit(other, {"bad"}, now) == Admission::Allowed);
+    now = crash(evidence, 5, {"bad"}, now + milliseconds(1));
+    CHECK(judge(evidence, now) == Parts{"bad"});
+    CHECK(applyVerdict(other, "bad", evidence.verdicts.at("bad")));
+    CHECK(admit(other, {"bad"}, now) == Admission::Refused);
+}
+
+TEST_CASE("a request whose server crashed under an unanswered suspect is not sent on")
+{
+    Evidence evidence;
+    CHECK(mayRetryAfterCrash(evidence, {"bad"}, begin));
+    const TimePoint now = crash(evidence, 1, {"bad"});
+    CHECK_FALSE(mayRetryAfterCrash(evidence, {"bad"}, now));
+    recordAnswer(evidence, {"bad"}, now);
+    CHECK(mayRetryAfterCrash(evidence, {"bad"}, now));
+}
+
+TEST_CASE("a flood of new parts pushes no verdict out, and memory is bounded")
+{
+    Evidence evidence;
+    TimePoint now = crash(evidence, 3, {"bad"});
+    judge(evidence, now);
+    for (int n = 0; n < 30'000; ++n) {
+        const std::string part = "p" + std::to_string(n);
+        if (n % 10 == 0)
+            recordCrash(evidence, "server " + part, suspects({part}), now);
+        else
+            recordAnswer(evidence, {part}, now);
+        Verdict verdict{1, false, 3, now, now + minutes(5)};
+        applyVerdict(evidence, part, verdict);
+    }
+    CHECK(admit(evidence, {"bad"}, now) == Admission::Refused);
+    CHECK(evidence.crashes.size() <= evidence.policy.maxCrashes);
+    CHECK(evidence.verdicts.size() <= evidence.policy.maxVerdicts);
+    CHECK(evidence.answered.newer.size() + evidence.answered.older.size()
+          <= evidence.policy.maxAnsweredParts);
+    CHECK(evidence.crashesDropped > 0);
+    CHECK(evidence.verdictsDropped > 0);
+}
+
+TEST_CASE("ids of any length have names of a bounded length")
+{
+    CHECK(partName("5c1e07a2") == "5c1e07a2");
+    CHECK(partName(std::string(10'000, 'a')).size() < 40);
+    CHECK(partName(std::string(10'000, 'a')) != partName(std::string(10'000, 'b')));
+}
