Quarantine: the table's keeper and its messages move below both data paths

Cause: the native interface needs the same verdicts, and a codec of its own would stand twice. Change: PartQuarantine and the codec of crashes, answers and verdicts are in lib/quarantine; reports that name one start within two seconds are one crash, since engines of the native interface keep their names.

--- a/include/kumquathaven/quarantine/evidence.h
+++ b/include/kumquathaven/quarantine/evidence.h
@@ -53,6 +53,9 @@
     /// A request at a crashed server is not sent to another one if this many servers crashed under
     /// one of its parts, which was never answered.
     std::size_t minCrashesToStop = 2;
+    /// Reports that name one start of a server within this time are about one crash. Engines that
+    /// keep their name when they start again take longer for that.
+    Duration sameCrashTime = std::chrono::seconds(2);
     /// How long instances may take to report a crash.
     Duration maxReportDelay = std::chrono::seconds(10);
 
--- a/lib/gateway/partquarantine.h
+++ b/include/kumquathaven/quarantine/partquarantine.h
@@ -1,11 +1,10 @@
 // Refuses requests with parts of prompts that crash servers, and keeps what is to be told to the
 // other instances about such parts.
 
-#ifndef KUMQUATHAVEN_LIB_GATEWAY_PARTQUARANTINE_H
-#define KUMQUATHAVEN_LIB_GATEWAY_PARTQUARANTINE_H
+#ifndef KUMQUATHAVEN_QUARANTINE_PARTQUARANTINE_H
+#define KUMQUATHAVEN_QUARANTINE_PARTQUARANTINE_H
 
 #include "kumquathaven/base/result.h"
-#include "kumquathaven/deployment/request.h"
 #include "kumquathaven/quarantine/evidence.h"
 #include "kumquathaven/telemetry/metrics.h"
 
@@ -14,13 +13,13 @@
 #include <string>
 #include <vector>
 
-namespace kumquathaven::gateway {
+namespace kumquathaven::quarantine {
 
 /// Suspects of one crash, as one instance saw it.
 struct CrashReport
 {
     std::string start;
-    std::vector<quarantine::Suspect> suspects;
+    std::vector<Suspect> suspects;
 };
 
 /// A suspected part that an instance saw answered, and how long ago.
@@ -34,7 +33,7 @@
 struct PartVerdict
 {
     std::string part;
-    quarantine::Verdict verdict;
+    Verdict verdict;
 };
 
 /// What the other instances must be told.
@@ -45,10 +44,7 @@
     std::vector<PartVerdict> verdicts;
 };
 
-/// Returns the names of the parts of a prompt that other requests may share: all except the last.
-std::vector<std::string> sharedPartNames(const deployment::CallerHead &head);
-
-/// Used on the loop's thread only.
+/// Not thread-safe.
 class PartQuarantine
 {
 public:
@@ -86,12 +82,15 @@
     /// Returns what was not told to the other instances yet.
     QuarantineNews takeNews(TimePoint now);
 
-    const quarantine::Evidence &evidence() const { return m_evidence; }
+    /// Returns all verdicts, for an instance that was not connected.
+    QuarantineNews allVerdicts() const;
+
+    const Evidence &evidence() const { return m_evidence; }
 
 private:
     void queueAnswers(const std::vector<std::string> &parts);
 
-    quarantine::Evidence m_evidence;
+    Evidence m_evidence;
     std::vector<CrashReport> m_unreportedCrashes;
     std::set<std::string> m_unreportedAnswers;
     std::set<std::string> m_changedVerdicts;
@@ -105,6 +104,6 @@
 /// Returns the error for a request with a part that crashes servers.
 Error quarantinedError(const std::string &part, std::uint32_t crashes, Outcome outcome);
 
-} // namespace kumquathaven::gateway
+} // namespace kumquathaven::quarantine
 
-#endif // KUMQUATHAVEN_LIB_GATEWAY_PARTQUARANTINE_H
+#endif // KUMQUATHAVEN_QUARANTINE_PARTQUARANTINE_H
--- a/lib/gateway/exchange.cpp
+++ b/lib/gateway/exchange.cpp
@@ -100,7 +100,9 @@
 
 Result<void> Exchange::checkQuarantine()
 {
-    m_sharedParts = sharedPartNames(m_callerHead);
+    // The last part of a prompt belongs to this request alone.
+    for (std::size_t n = 0; n + 1 < m_callerHead.prompt.size(); ++n)
+        m_sharedParts.push_back(quarantine::partName(m_callerHead.prompt[n].id));
     if (m_sharedParts.empty())
         return {};
     return m_gateway.quarantine.admit(m_sharedParts, m_arrivedAt);
@@ -158,8 +160,8 @@
     endAttempt(AttemptEnd::Abandoned);
     const auto &verdicts = m_gateway.quarantine.evidence().verdicts;
     const auto verdict = verdicts.find(part);
-    endWithError(
-        quarantinedError(part, verdict == verdicts.end() ? 0 : verdict->second.crashes, m_outcome));
+    endWithError(quarantine::quarantinedError(
+        part, verdict == verdicts.end() ? 0 : verdict->second.crashes, m_outcome));
 }
 
 void Exchange::instanceEnds()
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -7,11 +7,11 @@
 #include "endedservers.h"
 #include "kumquathaven/deployment/dialect.h"
 #include "kumquathaven/deployment/plan.h"
+#include "kumquathaven/quarantine/partquarantine.h"
 #include "kumquathaven/settings/settings.h"
 #include "kumquathaven/telemetry/metrics.h"
 #include "leaving.h"
 #include "overload.h"
-#include "partquarantine.h"
 #include "retrybudget.h"
 #include "servers.h"
 #include "tokenlimits.h"
@@ -102,7 +102,7 @@
     std::shared_ptr<const PlanInForce> plan;
     Servers servers;
     UpstreamPool pool;
-    PartQuarantine quarantine;
+    quarantine::PartQuarantine quarantine;
     EndedServers endedServers;
     /// Requests that were sent and whose answer has not begun, by the shared parts of their
     /// prompts.
--- a/lib/gateway/peermessages.cpp
+++ b/lib/gateway/peermessages.cpp
@@ -80,11 +80,11 @@
     for (const auto &[start, tokens] : takeChangedBacklogs(servers))
         m_member.setLevel(backlogKey(start), static_cast<std::int64_t>(tokens), now);
     PeerUpdate update = takeUpdate(servers, m_self.name);
-    QuarantineNews news = m_gateway.quarantine.takeNews(now);
+    quarantine::QuarantineNews news = m_gateway.quarantine.takeNews(now);
     update.crashes = std::move(news.crashes);
     update.answered = std::move(news.answered);
-    for (const PartVerdict &it : news.verdicts)
-        m_member.setFact(encodeVerdict(it, now), now);
+    for (const quarantine::PartVerdict &it : news.verdicts)
+        m_member.setFact(verdictFact(it, now), now);
     for (const ServerObservation &it : update.observations)
         logObservation(it);
     for (const overlay::Event &it : encodeEvents(update))
@@ -165,9 +165,9 @@
 
 void PeerMessages::applyQuarantineNews(const PeerUpdate &update, Duration age, TimePoint now)
 {
-    for (const CrashReport &it : update.crashes)
+    for (const quarantine::CrashReport &it : update.crashes)
         m_gateway.quarantine.applyReport(it, now - age, now);
-    for (const AnsweredPart &it : update.answered)
+    for (const quarantine::AnsweredPart &it : update.answered)
         m_gateway.quarantine.applyAnswer(it.part, now - age - it.age);
 }
 
@@ -175,7 +175,7 @@
 {
     const bool isApplied = orElse(
         [&]() -> Result<bool> {
-            BOOST_LEAF_AUTO(verdict, decodeVerdict(fact, m_member.parent(), now));
+            BOOST_LEAF_AUTO(verdict, decodeFact(fact, m_member.parent(), now));
             if (m_gateway.quarantine.applyVerdict(verdict, now))
                 endConvicted(m_gateway, {verdict.part});
             return true;
--- a/lib/gateway/peerupdate.cpp
+++ b/lib/gateway/peerupdate.cpp
@@ -4,6 +4,7 @@
 
 #include "kumquathaven/base/hash.h"
 #include "kumquathaven/base/walltime.h"
+#include "kumquathaven/quarantine/messages.h"
 #include "kumquathaven/wire/cbor.h"
 
 #include <nlohmann/json.hpp>
@@ -22,10 +23,6 @@
 constexpr std::uint64_t maxPartTokens = 10'000'000;
 /// Upper bound of a pause, one minute. An engine with longer pauses gives no answer in time.
 constexpr std::uint64_t maxPauseUs = 60'000'000;
-constexpr std::size_t maxSuspects = 64;
-constexpr std::size_t maxPartName = 64;
-constexpr std::uint64_t maxAgeUs = 86'400'000'000;
-constexpr std::uint32_t maxCrashes = 1'000'000;
 
 /// Kinds of events; the first element of an event.
 enum class EventKind { Prompt, Stored, Pace, Observation, Crash, Answered };
@@ -115,51 +112,6 @@
     return isObservation;
 }
 
-bool readPartName(const json &value, std::string &out)
-{
-    if (!value.is_string() || value.get_ref<const std::string &>().size() > maxPartName)
-        return false;
-    out = value.get<std::string>();
-    return true;
-}
-
-bool readCrash(const json &value, CrashReport &out)
-{
-    const bool isCrash = value.is_array() && value.size() == 2 && value[0].is_string()
-        && value[1].is_array() && value[1].size() <= maxSuspects;
-    if (!isCrash)
-        return false;
-    out.start = value[0].get<std::string>();
-    for (const json &it : value[1]) {
-        quarantine::Suspect suspect;
-        const bool isSuspect = it.is_array() && it.size() == 2 && readPartName(it[0], suspect.part)
-            && it[1].is_number_unsigned() && it[1].get<std::uint64_t>() < maxParts;
-        if (!isSuspect)
-            return false;
-        suspect.position = it[1].get<std::uint32_t>();
-        out.suspects.push_back(std::move(suspect));
-    }
-    return true;
-}
-
-bool readAnswered(const json &value, AnsweredPart &out)
-{
-    const bool isAnswered = value.is_array() && value.size() == 2
-        && readPartName(value[0], out.part) && value[1].is_number_unsigned()
-        && value[1].get<std::uint64_t>() <= maxAgeUs;
-    if (isAnswered)
-        out.age = std::chrono::microseconds(value[1].get<std::uint64_t>());
-    return isAnswered;
-}
-
-json toJson(const CrashReport &it)
-{
-    json suspects = json::array();
-    for (const quarantine::Suspect &suspect : it.suspects)
-        suspects.push_back({suspect.part, suspect.position});
-    return {it.start, std::move(suspects)};
-}
-
 /// Returns the pause of a server that is to be reported, and resets it, once enough chunks arrived
 /// to compute one.
 std::optional<Duration> takeUnreportedPause(KnownServer &server)
@@ -213,9 +165,9 @@
     case EventKind::Observation:
         return readObserved(update, update.observations, readObservation, content);
     case EventKind::Crash:
-        return readObserved(update, update.crashes, readCrash, content);
+        return readObserved(update, update.crashes, quarantine::readCrash, content);
     case EventKind::Answered:
-        return readInto(update.answered, readAnswered, content);
+        return readInto(update.answered, quarantine::readAnswered, content);
     }
     return false;
 }
@@ -275,57 +227,31 @@
             update.instance + '|' + it.start + '|' + std::to_string(kind) + '|' + it.model,
             json::array({update.instance, json::array({it.start, kind, it.model, it.version})})));
     }
-    for (const CrashReport &it : update.crashes) {
+    for (const quarantine::CrashReport &it : update.crashes) {
         const std::string part = it.suspects.empty() ? std::string() : it.suspects.front().part;
         events.push_back(eventOf(EventKind::Crash, update.instance + '|' + it.start + '|' + part,
-                                 json::array({update.instance, toJson(it)})));
-    }
-    for (const AnsweredPart &it : update.answered) {
-        const auto age = std::max<std::int64_t>(0, it.age.count());
-        events.push_back(
-            eventOf(EventKind::Answered, it.part,
-                    json::array({it.part, std::min(maxAgeUs, static_cast<std::uint64_t>(age))})));
+                                 json::array({update.instance, quarantine::toJson(it)})));
     }
+    for (const quarantine::AnsweredPart &it : update.answered)
+        events.push_back(eventOf(EventKind::Answered, it.part, quarantine::toJson(it)));
     return events;
 }
 
-overlay::Fact encodeVerdict(const PartVerdict &verdict, TimePoint now)
+overlay::Fact verdictFact(const quarantine::PartVerdict &verdict, TimePoint now)
 {
     constexpr std::uint64_t seed = 0x7665'7264'6963'74;
-    const quarantine::Verdict &it = verdict.verdict;
-    // The wall clock is used since the bytes do not change on their way.
-    const auto decidedAgo =
-        std::chrono::duration_cast<std::chrono::milliseconds>(now - it.decidedAt).count();
-    const auto decidedAt = static_cast<std::int64_t>(wallMilliseconds()) - decidedAgo;
-    return {stableHash(verdict.part, seed), it.generation,
-            wire::toCbor(json::array(
-                {verdict.part, it.isLifted, it.crashes, static_cast<std::uint64_t>(decidedAt)})),
-            it.expiresAt - now};
+    return {stableHash(verdict.part, seed), verdict.verdict.generation,
+            quarantine::encodeVerdict(verdict, now, wallMilliseconds()),
+            verdict.verdict.expiresAt - now};
 }
 
-Result<PartVerdict> decodeVerdict(const overlay::Fact &fact, const std::string &peer, TimePoint now)
+Result<quarantine::PartVerdict> decodeFact(const overlay::Fact &fact, const std::string &peer,
+                                           TimePoint now)
 {
-    BOOST_LEAF_AUTO(value, wire::fromCbor(fact.bytes, "gateway.verdict", peer));
-    PartVerdict out;
-    const bool isVerdict = value.is_array() && value.size() == 4 && readPartName(value[0], out.part)
-        && value[1].is_boolean() && value[2].is_number_unsigned()
-        && value[2].get<std::uint64_t>() <= maxCrashes && value[3].is_number_unsigned();
-    if (!isVerdict)
-        return fail({ErrorCode::InvalidRequest,
-                     "gateway.verdict",
-                     peer,
-                     "malformed verdict of another entry",
-                     Outcome::NotRun,
-                     {}});
-    const std::uint64_t age =
-        wallMilliseconds() - std::min(wallMilliseconds(), value[3].get<std::uint64_t>());
-    out.verdict.generation = fact.generation;
-    out.verdict.isLifted = value[1].get<bool>();
-    out.verdict.crashes = value[2].get<std::uint32_t>();
-    out.verdict.decidedAt =
-        now - std::chrono::milliseconds(static_cast<std::int64_t>(std::min(age, maxAgeUs / 1'000)));
-    out.verdict.expiresAt = now + fact.lifetime;
-    return Result<PartVerdict>(std::move(out));
+    BOOST_LEAF_AUTO(verdict, quarantine::decodeVerdict(fact.bytes, peer, now, wallMilliseconds()));
+    verdict.verdict.generation = fact.generation;
+    verdict.verdict.expiresAt = now + fact.lifetime;
+    return Result<quarantine::PartVerdict>(std::move(verdict));
 }
 
 Result<PeerUpdate> decodeEvent(std::string_view bytes, const std::string &peer)
--- a/lib/gateway/peerupdate.h
+++ b/lib/gateway/peerupdate.h
@@ -12,7 +12,7 @@
 #include "kumquathaven/base/result.h"
 #include "kumquathaven/base/time.h"
 #include "kumquathaven/overlay/aggregate.h"
-#include "partquarantine.h"
+#include "kumquathaven/quarantine/partquarantine.h"
 #include "servers.h"
 
 #include <string>
@@ -32,8 +32,8 @@
     /// Paces of servers that sent this instance enough chunks since its last report of them.
     std::vector<ServerPace> paces;
     /// Crashes of servers, and suspected parts that were answered nevertheless.
-    std::vector<CrashReport> crashes;
-    std::vector<AnsweredPart> answered;
+    std::vector<quarantine::CrashReport> crashes;
+    std::vector<quarantine::AnsweredPart> answered;
 };
 
 /// Returns the unreported data of \p instance and removes it from \p servers.
@@ -52,9 +52,9 @@
 Result<PeerUpdate> decodeEvent(std::string_view bytes, const std::string &peer);
 
 /// Encodes a verdict as a fact, and decodes its bytes. The error is InvalidRequest.
-overlay::Fact encodeVerdict(const PartVerdict &verdict, TimePoint now);
-Result<PartVerdict> decodeVerdict(const overlay::Fact &fact, const std::string &peer,
-                                  TimePoint now);
+overlay::Fact verdictFact(const quarantine::PartVerdict &verdict, TimePoint now);
+Result<quarantine::PartVerdict> decodeFact(const overlay::Fact &fact, const std::string &peer,
+                                           TimePoint now);
 
 } // namespace kumquathaven::gateway
 
--- a/lib/quarantine/evidence.cpp
+++ b/lib/quarantine/evidence.cpp
@@ -185,7 +185,8 @@
 {
     const auto known =
         std::find_if(evidence.crashes.begin(), evidence.crashes.end(), [&](const Crash &it) {
-            return it.start == start;
+            return it.start == start && it.at - at < evidence.policy.sameCrashTime
+                && at - it.at < evidence.policy.sameCrashTime;
         });
     if (known != evidence.crashes.end())
         return *known;
--- a/lib/gateway/partquarantine.cpp
+++ b/lib/quarantine/partquarantine.cpp
@@ -1,4 +1,4 @@
-#include "partquarantine.h"
+#include "kumquathaven/quarantine/partquarantine.h"
 
 #include "kumquathaven/telemetry/log.h"
 
@@ -6,7 +6,7 @@
 #include <map>
 #include <utility>
 
-namespace kumquathaven::gateway {
+namespace kumquathaven::quarantine {
 
 namespace {
 
@@ -14,18 +14,10 @@
 
 } // namespace
 
-std::vector<std::string> sharedPartNames(const deployment::CallerHead &head)
-{
-    std::vector<std::string> names;
-    for (std::size_t n = 0; n + 1 < head.prompt.size(); ++n)
-        names.push_back(quarantine::partName(head.prompt[n].id));
-    return names;
-}
-
 Error quarantinedError(const std::string &part, std::uint32_t crashes, Outcome outcome)
 {
     return {ErrorCode::Quarantined,
-            "gateway.quarantine",
+            "quarantine.admit",
             {},
             "part " + part + " of the prompt crashed " + std::to_string(crashes)
                 + " servers; do not send it again",
@@ -53,7 +45,7 @@
         return {};
     case quarantine::Admission::Pending:
         return fail({ErrorCode::Overloaded,
-                     "gateway.quarantine",
+                     "quarantine.admit",
                      {},
                      "servers crashed under a part of the prompt, and the cause is being decided",
                      Outcome::NotRun,
@@ -200,4 +192,12 @@
     return news;
 }
 
-} // namespace kumquathaven::gateway
+QuarantineNews PartQuarantine::allVerdicts() const
+{
+    QuarantineNews news;
+    for (const auto &[part, verdict] : m_evidence.verdicts)
+        news.verdicts.push_back({part, verdict});
+    return news;
+}
+
+} // namespace kumquathaven::quarantine
