Entry: prompts that crash engines are refused on the native interface as well

Cause: the same as on the platform: a prompt under which an engine crashed went to up to three engines, and each request like it to the next ones. Change: the blocks of 256 tokens of a prompt stand for its parts. An attempt without whole events whose engine refuses connections afterwards is a crash; entries tell each other over a channel of their own, and the verdicts when a link opens. Refused before a turn or tokens are taken; waiting attempts are withdrawn. The emulator's engines can crash on a text.

--- a/include/kumquathaven/runtime/httpclient.h
+++ b/include/kumquathaven/runtime/httpclient.h
@@ -74,6 +74,10 @@
     std::unique_ptr<Impl> m_impl;
 };
 
+/// Returns whether the process at an address refuses connections, as one does that has ended. An
+/// address that neither accepts nor refuses within \p timeout does not.
+bool refusesConnections(const settings::Address &address, Duration timeout);
+
 /// Makes a whole call and returns the answer, at most \p maxBytes of body. \p maySend is asked once
 /// the connection stands, directly before the first byte is sent; if it returns false, the call
 /// fails with Cancelled and outcome NotRun.
--- a/include/kumquathaven/wire/frame.h
+++ b/include/kumquathaven/wire/frame.h
@@ -12,10 +12,10 @@
 namespace kumquathaven::wire {
 
 /// The protocols that share a link.
-enum class Channel { Consensus, Feed, Ledger, Slices, Answers };
+enum class Channel { Consensus, Feed, Ledger, Slices, Answers, Quarantine };
 
 /// Number of channels.
-constexpr std::size_t channelCount = 5;
+constexpr std::size_t channelCount = 6;
 
 /// Returns the name that a channel has in metrics.
 std::string_view channelName(Channel channel);
--- a/lib/entry/entryrole.cpp
+++ b/lib/entry/entryrole.cpp
@@ -5,6 +5,7 @@
 #include "entrystate.h"
 #include "fleetanswers.h"
 #include "fleetlimits.h"
+#include "fleetquarantine.h"
 #include "kumquathaven/base/walltime.h"
 #include "kumquathaven/feed/client.h"
 #include "kumquathaven/runtime/httpserver.h"
@@ -75,6 +76,7 @@
     feed::PeerLinks peerLinks;
     FleetLimits limits;
     FleetAnswers answers;
+    FleetQuarantine quarantine;
     RunOnce runOnce;
     runtime::HttpServer callers;
     runtime::HttpServer operators;
@@ -89,6 +91,7 @@
         , limits(settings, self.incarnation, hub, peerLinks, state.view, state.metrics)
         , answers(settings.instance, self.incarnation, hub, peerLinks, state.view, state.joins,
                   state.metrics)
+        , quarantine(settings.instance, hub, peerLinks, state.view, state.metrics)
         , runOnce({settings.instance, self.incarnation},
                   [this](std::uint64_t number, const std::string &command) {
                       return feed.sendToLedger(number, command);
@@ -105,6 +108,7 @@
     {
         state.limits = &limits;
         state.answers = &answers;
+        state.quarantine = &quarantine;
         state.runOnce = &runOnce;
         state.hub = &hub;
         state.feed = &feed;
--- a/lib/entry/entrystate.h
+++ b/lib/entry/entrystate.h
@@ -22,6 +22,7 @@
 
 class FleetAnswers;
 class FleetLimits;
+class FleetQuarantine;
 class RunOnce;
 
 /// Owned by the role; every member may be used by any thread.
@@ -46,6 +47,7 @@
     std::atomic<bool> drainRequested{false};
     /// Duties that requests call; set before the first request.
     FleetLimits *limits = nullptr;
+    FleetQuarantine *quarantine = nullptr;
     FleetAnswers *answers = nullptr;
     RunOnce *runOnce = nullptr;
     /// The links to other instances, for their counters.
--- /dev/null
+++ b/lib/entry/fleetquarantine.cpp
@@ -0,0 +1,179 @@
+#include "fleetquarantine.h"
+
+#include "upstreamattempt.h"
+
+#include "kumquathaven/base/hex.h"
+#include "kumquathaven/base/walltime.h"
+#include "kumquathaven/quarantine/messages.h"
+#include "kumquathaven/routing/prefix.h"
+#include "kumquathaven/runtime/httpclient.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kumquathaven::entry {
+
+namespace {
+
+constexpr const char *frameKind = "news";
+/// Length of a block. Cache blocks may be longer than the part of a prompt that requests share.
+constexpr std::uint32_t quarantineBlockTokens = 256;
+/// Blocks behind these are not told apart. The hash of a block covers all blocks before it.
+constexpr std::size_t maxBlocks = 64;
+/// An engine may crash in the middle of the first events that it writes.
+constexpr std::uint32_t minEventsOfAnswer = 2;
+constexpr Duration checkTimeout = std::chrono::milliseconds(300);
+
+bool isEmpty(const quarantine::QuarantineNews &news)
+{
+    return news.crashes.empty() && news.answered.empty() && news.verdicts.empty();
+}
+
+} // namespace
+
+std::vector<std::string> sharedBlocks(const CallerRequest &request)
+{
+    std::vector<std::string> names;
+    if (request.route->model.empty())
+        return names;
+    // A prompt that crashes engines does so for each customer and with all weights.
+    const routing::PrefixChain chain({{}, request.model, {}, {}}, request.promptText,
+                                     quarantineBlockTokens);
+    for (std::size_t n = 0; n + 1 < chain.blocks().size() && n < maxBlocks; ++n)
+        names.push_back("block:" + toHex(static_cast<std::uint64_t>(chain.blocks()[n])));
+    return names;
+}
+
+bool mayHaveCrashed(const AttemptReport &report)
+{
+    return report.error && report.error->code == ErrorCode::UpstreamFailed
+        && report.error->outcome != Outcome::NotRun && report.events < minEventsOfAnswer;
+}
+
+bool showsSoundPrompt(const AttemptReport &report)
+{
+    return report.end == AttemptEnd::Complete || report.events >= minEventsOfAnswer;
+}
+
+FleetQuarantine::FleetQuarantine(std::string ownName, wire::Hub &hub, feed::PeerLinks &peerLinks,
+                                 const catalogue::View &view, telemetry::Metrics &metrics)
+    : m_name(std::move(ownName))
+    , m_peerLinks(peerLinks)
+    , m_view(view)
+    , m_malformedFrames(metrics.counter("kumquathaven_entry_frames_malformed_total",
+                                        "frames of other entries that were not understood",
+                                        {{"channel", "quarantine"}}))
+    , m_parts(metrics)
+{
+    wire::ChannelHandlers handlers;
+    // An entry that starts or was cut off learns the verdicts of each other one.
+    handlers.opened = [this](const wire::Peer &peer) {
+        const TimePoint now = monotonicNow();
+        quarantine::QuarantineNews news;
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            news = m_parts.allVerdicts();
+        }
+        if (peer.outgoing && !isEmpty(news))
+            send(peer.name, news, now);
+    };
+    handlers.received = [this](const wire::Peer &peer, const wire::Frame &frame) {
+        receive(peer.name, frame.body, monotonicNow());
+    };
+    hub.handle(wire::Channel::Quarantine, std::move(handlers));
+}
+
+Result<void> FleetQuarantine::admit(const std::vector<std::string> &blocks, TimePoint now)
+{
+    if (blocks.empty())
+        return {};
+    auto admitted = [&] {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_parts.judge(now);
+        return m_parts.admit(blocks, now);
+    }();
+    tellOthers(now);
+    return admitted;
+}
+
+bool FleetQuarantine::isConvicted(const std::vector<std::string> &blocks, TimePoint now)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_parts.judge(now);
+    return m_parts.isConvicted(blocks, now);
+}
+
+void FleetQuarantine::recordAnswer(const std::vector<std::string> &blocks, TimePoint now)
+{
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_parts.recordAnswer(blocks, now);
+    }
+    tellOthers(now);
+}
+
+bool FleetQuarantine::checkUpstream(const catalogue::Upstream &upstream,
+                                    const std::vector<std::string> &blocks, TimePoint now)
+{
+    const bool hasEnded = upstream.state == catalogue::UpstreamState::Serving
+        && runtime::refusesConnections(settings::parseAddress(upstream.address), checkTimeout);
+    bool mayRetry = true;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        mayRetry = m_parts.mayRetryAfterCrash(blocks, now);
+        if (hasEnded)
+            m_parts.recordCrash(upstream.head.name, {blocks}, now);
+    }
+    tellOthers(now);
+    return mayRetry || !hasEnded;
+}
+
+void FleetQuarantine::receive(const std::string &peer, const std::string &body, TimePoint now)
+{
+    const bool isUnderstood = orElse(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_AUTO(news, quarantine::decodeNews(body, peer, now, wallMilliseconds()));
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            for (const quarantine::CrashReport &it : news.crashes)
+                m_parts.applyReport(it, now, now);
+            for (const quarantine::AnsweredPart &it : news.answered)
+                m_parts.applyAnswer(it.part, now - it.age);
+            for (const quarantine::PartVerdict &it : news.verdicts)
+                m_parts.applyVerdict(it, now);
+            return true;
+        },
+        [](const Error &) {
+            return false;
+        });
+    if (!isUnderstood)
+        m_malformedFrames.add();
+    tellOthers(now);
+}
+
+/// Sends what is new to each other entry.
+void FleetQuarantine::tellOthers(TimePoint now)
+{
+    quarantine::QuarantineNews news;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        news = m_parts.takeNews(now);
+    }
+    if (isEmpty(news))
+        return;
+    const catalogue::Snapshot snapshot = m_view.current();
+    for (const auto &it : snapshot.instances->entries) {
+        if (it.first != m_name)
+            send(it.first, news, now);
+    }
+}
+
+void FleetQuarantine::send(const std::string &to, const quarantine::QuarantineNews &news,
+                           TimePoint now)
+{
+    // An entry without an open link gets the verdicts when one opens.
+    m_peerLinks.send(to,
+                     {wire::Channel::Quarantine, frameKind,
+                      quarantine::encodeNews(news, now, wallMilliseconds())});
+}
+
+} // namespace kumquathaven::entry
--- /dev/null
+++ b/lib/entry/fleetquarantine.h
@@ -0,0 +1,71 @@
+// Refuses requests whose prompts crash engines, by what all entries observed.
+
+#ifndef KUMQUATHAVEN_LIB_ENTRY_FLEETQUARANTINE_H
+#define KUMQUATHAVEN_LIB_ENTRY_FLEETQUARANTINE_H
+
+#include "callerrequest.h"
+#include "kumquathaven/catalogue/view.h"
+#include "kumquathaven/feed/peerlinks.h"
+#include "kumquathaven/quarantine/partquarantine.h"
+#include "kumquathaven/telemetry/metrics.h"
+#include "kumquathaven/wire/hub.h"
+
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace kumquathaven::entry {
+
+struct AttemptReport;
+
+/// Returns the names of the blocks of a prompt that other requests may share: all whole blocks
+/// except the last. Empty for requests that no engine serves.
+std::vector<std::string> sharedBlocks(const CallerRequest &request);
+
+/// Returns whether an attempt ended so early that the request may have crashed its upstream.
+bool mayHaveCrashed(const AttemptReport &report);
+
+/// Returns whether so much of an answer arrived that its prompt crashes no engine.
+bool showsSoundPrompt(const AttemptReport &report);
+
+/// All functions are thread-safe.
+class FleetQuarantine
+{
+public:
+    /// Sets the handlers of its channel: make it before \p hub starts.
+    FleetQuarantine(std::string ownName, wire::Hub &hub, feed::PeerLinks &peerLinks,
+                    const catalogue::View &view, telemetry::Metrics &metrics);
+    FleetQuarantine(const FleetQuarantine &) = delete;
+    FleetQuarantine &operator=(const FleetQuarantine &) = delete;
+
+    /// Fails with Quarantined if a block of the prompt crashes engines, and with Overloaded while
+    /// that is being decided.
+    Result<void> admit(const std::vector<std::string> &blocks, TimePoint now);
+
+    /// Returns whether a block of the prompt is convicted.
+    bool isConvicted(const std::vector<std::string> &blocks, TimePoint now);
+
+    /// Records that an engine began to answer.
+    void recordAnswer(const std::vector<std::string> &blocks, TimePoint now);
+
+    /// Takes the end of an attempt that may have crashed its upstream. Checks whether the upstream
+    /// ended, and returns whether the request may be sent to another one.
+    bool checkUpstream(const catalogue::Upstream &upstream, const std::vector<std::string> &blocks,
+                       TimePoint now);
+
+private:
+    void receive(const std::string &peer, const std::string &body, TimePoint now);
+    void tellOthers(TimePoint now);
+    void send(const std::string &to, const quarantine::QuarantineNews &news, TimePoint now);
+
+    const std::string m_name;
+    feed::PeerLinks &m_peerLinks;
+    const catalogue::View &m_view;
+    telemetry::Counter &m_malformedFrames;
+    std::mutex m_mutex;
+    quarantine::PartQuarantine m_parts;
+};
+
+} // namespace kumquathaven::entry
+
+#endif // KUMQUATHAVEN_LIB_ENTRY_FLEETQUARANTINE_H
--- a/lib/entry/passage.h
+++ b/lib/entry/passage.h
@@ -8,6 +8,8 @@
 #include "kumquathaven/runtime/httpserver.h"
 
 #include <chrono>
+#include <string>
+#include <vector>
 
 namespace kumquathaven::entry {
 
@@ -18,6 +20,8 @@
     runtime::HttpExchange &exchange;
     catalogue::Snapshot snapshot;
     CallerRequest request;
+    /// Names of the blocks of the prompt that other requests may share.
+    std::vector<std::string> sharedBlocks = {};
     std::chrono::system_clock::time_point startedAt;
 };
 
--- a/lib/entry/pipeline.cpp
+++ b/lib/entry/pipeline.cpp
@@ -1,6 +1,7 @@
 #include "pipeline.h"
 
 #include "authenticate.h"
+#include "fleetquarantine.h"
 #include "joinstep.h"
 #include "keyedsink.h"
 #include "passage.h"
@@ -85,15 +86,18 @@
     const catalogue::Key *key = shown.empty()
         ? nullptr
         : passage.state.keys.find(passage.snapshot.catalogue, sha256Hex(shown));
-    return authenticate(passage.request, key, passage.snapshot, now,
-                        passage.state.settings.freshnessBound);
+    BOOST_LEAF_CHECK(authenticate(passage.request, key, passage.snapshot, now,
+                                  passage.state.settings.freshnessBound));
+    // Before the steps that reserve tokens or wait for a turn.
+    passage.sharedBlocks = sharedBlocks(passage.request);
+    return passage.state.quarantine->admit(passage.sharedBlocks, now);
 }
 
 } // namespace
 
 void serveRequest(EntryState &state, runtime::HttpExchange &exchange)
 {
-    Passage passage{state, exchange, {}, {}, std::chrono::system_clock::now()};
+    Passage passage{state, exchange, {}, {}, {}, std::chrono::system_clock::now()};
     const StreamSlot slot(state);
     const auto refuse = [&](const Error &error) {
         exchange.reply(runtime::errorReply(error, passage.request.requestId));
--- a/lib/entry/router.cpp
+++ b/lib/entry/router.cpp
@@ -35,6 +35,7 @@
 bool wasEndedByUs(const AttemptReport &report)
 {
     return report.end == AttemptEnd::CallerGone || report.madeWay
+        || (report.error && report.error->code == ErrorCode::Quarantined)
         || (report.error && report.error->code == ErrorCode::DeadlineExceeded);
 }
 
--- a/lib/entry/upstreamattempt.cpp
+++ b/lib/entry/upstreamattempt.cpp
@@ -101,6 +101,10 @@
         return fail(attemptError(attempt, ErrorCode::DeadlineExceeded, "upstream.wait",
                                  "the upstream did not begin to answer before the deadline",
                                  Outcome::Unknown));
+    if (watch.isWithdrawn && watch.isWithdrawn())
+        return fail(attemptError(attempt, ErrorCode::Quarantined, "upstream.wait",
+                                 "a part of the prompt crashes engines; do not send it again",
+                                 Outcome::Unknown));
     if (!watch.makesWay || !watch.makesWay())
         return {};
     attempt.report.madeWay = true;
--- a/lib/entry/upstreamattempt.h
+++ b/lib/entry/upstreamattempt.h
@@ -58,6 +58,9 @@
     std::optional<TimePoint> giveUpAt;
     /// Returns whether the attempt should make way for one elsewhere. Asked while it waits.
     std::function<bool()> makesWay;
+    /// Returns whether the request must not run any more. Asked while it waits; the attempt then
+    /// ends with Quarantined.
+    std::function<bool()> isWithdrawn;
     /// Called at the first part of a stream.
     std::function<void(TimePoint)> arrived;
 };
--- a/lib/entry/upstreamstep.cpp
+++ b/lib/entry/upstreamstep.cpp
@@ -1,5 +1,6 @@
 #include "upstreamstep.h"
 
+#include "fleetquarantine.h"
 #include "importstep.h"
 #include "relaysink.h"
 
@@ -95,6 +96,10 @@
     watch.arrived = [&](TimePoint at) {
         router.firstToken(choice, request, at);
     };
+    watch.isWithdrawn = [&] {
+        return !passage.sharedBlocks.empty()
+            && passage.state.quarantine->isConvicted(passage.sharedBlocks, monotonicNow());
+    };
     if (plan.isContinued || choice.ticket == 0 || !request.route->repeatable)
         return watch;
     watch.giveUpAt = choice.giveUpAt;
@@ -137,7 +142,8 @@
 bool mayTryAgain(const CallerRequest &request, const AttemptReport &report)
 {
     const bool isGivenUp = report.error && report.error->code == ErrorCode::DeadlineExceeded;
-    return report.end == AttemptEnd::Failed && !isGivenUp
+    const bool isWithdrawn = report.error && report.error->code == ErrorCode::Quarantined;
+    return report.end == AttemptEnd::Failed && !isGivenUp && !isWithdrawn
         && (report.error->outcome == Outcome::NotRun || request.route->repeatable);
 }
 
@@ -216,6 +222,22 @@
     return true;
 }
 
+/// Tells the quarantine how an attempt ended. Returns whether the request may crash the next
+/// upstream as well.
+bool reportToQuarantine(const Passage &passage, const catalogue::Upstream &upstream,
+                        const AttemptReport &report)
+{
+    FleetQuarantine &quarantine = *passage.state.quarantine;
+    const TimePoint now = monotonicNow();
+    if (passage.sharedBlocks.empty())
+        return false;
+    if (showsSoundPrompt(report))
+        quarantine.recordAnswer(passage.sharedBlocks, now);
+    else if (mayHaveCrashed(report))
+        return !quarantine.checkUpstream(upstream, passage.sharedBlocks, now);
+    return false;
+}
+
 } // namespace
 
 AttemptReport serveByUpstreams(Passage &passage, AnswerSink &sink)
@@ -250,7 +272,8 @@
             worst = Outcome::Unknown;
         const bool isOver = report.end == AttemptEnd::Cut ? !relay.canContinue()
                                                           : !mayTryAgain(passage.request, report);
-        if (isOver)
+        const bool isSuspect = reportToQuarantine(passage, choice->upstream, report);
+        if (isOver || isSuspect)
             break;
     }
     // A later attempt that did not run says nothing about an earlier one that may have.
--- a/lib/runtime/httpclient.cpp
+++ b/lib/runtime/httpclient.cpp
@@ -4,6 +4,7 @@
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/Net/StreamSocketImpl.h>
 #include <Poco/Timespan.h>
@@ -245,6 +246,20 @@
     }
 }
 
+bool refusesConnections(const settings::Address &address, Duration timeout)
+{
+    try {
+        Poco::Net::StreamSocket socket;
+        socket.connect(Poco::Net::SocketAddress(address.host, address.port), timespan(timeout));
+    } catch (const Poco::Net::ConnectionRefusedException &) {
+        return true;
+    } catch (const Poco::Exception &) {
+        // The path to it may be interrupted.
+        return false;
+    }
+    return false;
+}
+
 Result<HttpReply> fetch(const settings::Address &address, const std::string &method,
                         const std::string &path, const HeaderFields &headers,
                         const std::string &body, CallTimeouts timeouts, std::size_t maxBytes,
--- a/lib/wire/frame.cpp
+++ b/lib/wire/frame.cpp
@@ -15,6 +15,7 @@
     {Channel::Ledger, "ledger"},
     {Channel::Slices, "slices"},
     {Channel::Answers, "answers"},
+    {Channel::Quarantine, "quarantine"},
 }};
 
 } // namespace
--- a/tools/emulator/engine/engine.h
+++ b/tools/emulator/engine/engine.h
@@ -25,6 +25,8 @@
     std::string version = "1";
     std::string role = "mixed";
     std::string credential;
+    /// Prompts with this text crash the engine as it begins to answer them; empty: none do.
+    std::string crashOn;
     std::string weightStore;
     bool checksFencing = false;
     long loadMs = 200;
--- a/tools/emulator/engine/main.cpp
+++ b/tools/emulator/engine/main.cpp
@@ -12,6 +12,10 @@
 
 namespace {
 
+/// Time in which a prompt that crashes the engine is read, and the status of the process.
+constexpr std::chrono::milliseconds crashDelay{100};
+constexpr int crashStatus = 3;
+
 using kumquathaven::fromHex;
 using kumquathaven::toHex;
 
@@ -127,6 +131,18 @@
     return true;
 }
 
+/// Ends the process in the middle of the first bytes of the answer if the prompt is one that
+/// crashes it.
+void crashIfAsked(const Engine &engine, const std::string &body, Response &response)
+{
+    const std::string &text = engine.options().crashOn;
+    if (text.empty() || body.find(text) == std::string::npos)
+        return;
+    std::this_thread::sleep_for(crashDelay);
+    response.send() << "data: {" << std::flush;
+    std::_Exit(crashStatus);
+}
+
 void complete(Engine &engine, Request &request, Response &response, bool chat)
 {
     const std::string body = readBody(request);
@@ -151,6 +167,7 @@
     if (!completion)
         return sendError(response, 404, error);
     response.set("X-Request-Id", completion->requestId);
+    crashIfAsked(engine, body, response);
     response.set("X-Incarnation", engine.incarnation());
     response.set("X-Weights-Version", version);
     bool whole = false;
@@ -289,6 +306,7 @@
          {"credential", &options.credential, "bearer token that completions must show"},
          {"load-ms", &options.loadMs, "milliseconds to load weights"},
          {"load-lag", &options.loadLagMs, "age of the load report in milliseconds"},
+         {"crash-on", &options.crashOn, "text of prompts under which the engine crashes"},
          {"weight-store", &options.weightStore, "host:port that weights are fetched from"},
          {"import-speed", &options.importTokensPerSecond, "tokens imported a second"},
          {"drop-events", &drop, "never send every nth cache event"},
