Runtime: an answer whose head ends early is no answer

Cause: the HTTP library takes the end of a connection for the end of a head. The platform's interface has a parser of its own and was not affected. Change: HttpCall fails if the connection ended while the head was read, for every call that is made through it.

--- a/lib/runtime/httpclient.cpp
+++ b/lib/runtime/httpclient.cpp
@@ -42,9 +42,14 @@
             if (left <= Duration(0) || !poll(wait, Poco::Net::Socket::SELECT_READ))
                 throw Poco::TimeoutException("the answer takes too long");
         }
-        return StreamSocketImpl::receiveBytes(buffer, length, flags);
+        const int n = StreamSocketImpl::receiveBytes(buffer, length, flags);
+        m_hasEnded = m_hasEnded || (n == 0 && length > 0);
+        return n;
     }
 
+    /// Returns whether a read found that the peer has closed the connection.
+    bool hasEnded() const { return m_hasEnded; }
+
 private:
     std::optional<TimePoint> limit() const
     {
@@ -55,6 +60,7 @@
 
     std::optional<TimePoint> m_callUntil;
     std::optional<TimePoint> m_partUntil;
+    bool m_hasEnded = false;
 };
 
 // A session that can tell whether a read would wait.
@@ -205,6 +211,11 @@
         Poco::Net::HTTPResponse response;
         m_impl->socket->limitPart(monotonicNow() + m_impl->timeouts.silence);
         m_impl->in = &m_impl->session->receiveResponse(response);
+        // The library takes a head that ends early for a whole one. It reads no byte behind a head.
+        if (m_impl->socket->hasEnded())
+            return fail(m_impl->error(ErrorCode::UpstreamFailed, "upstream.readHead",
+                                      "the connection was closed inside the head",
+                                      Outcome::Unknown));
         m_impl->status = response.getStatus();
         m_impl->session->setChunked(response.getChunkedTransferEncoding());
         for (const auto &it : response)
--- a/unittests/entry/attempttest.cpp
+++ b/unittests/entry/attempttest.cpp
@@ -67,10 +67,11 @@
 
 Outcomes attemptWith(const std::string &address, bool isGone = false,
                      const FirstPartWatch &watch = {},
-                     Duration silence = std::chrono::milliseconds(300))
+                     Duration silence = std::chrono::milliseconds(300),
+                     const std::string &model = "m")
 {
     catalogue::Route route;
-    route.model = "m";
+    route.model = model;
     CallerRequest request;
     request.route = &route;
     request.requestId = "req-1";
@@ -153,6 +154,23 @@
     }
 }
 
+// Guards against half of an upstream's head becoming a whole answer with an empty or short body.
+TEST_CASE("an upstream that stops anywhere in its head has not answered")
+{
+    const std::string answer =
+        "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\nbody";
+    for (std::size_t n = 1; n <= answer.size(); ++n) {
+        CAPTURE(answer.substr(0, n));
+        RawUpstream upstream(answer.substr(0, n));
+        const auto out =
+            attemptWith(upstream.address(), false, {}, std::chrono::milliseconds(300), "");
+        const bool isWhole = n == answer.size();
+        CHECK(out.report.end == (isWhole ? AttemptEnd::Complete : AttemptEnd::Failed));
+        if (!isWhole && out.report.error)
+            CHECK(out.report.error->outcome == Outcome::Unknown);
+    }
+}
+
 TEST_CASE("a silent upstream ends in a timeout, and at once if the caller has gone")
 {
     {
