Quarantine: operators see verdicts with evidence and age, and lift them

Cause: a verdict could be read from log lines only, and not be lifted. Change: /v1/quarantine on the operators' address of entries of both interfaces, 'kumquatctl quarantine ENTRY' and 'lift PART'; a lifted verdict is a newer generation, so that it holds on all entries. Result: system.crashing_prompt shows a verdict on two entries and lifts it on one for both.

--- a/include/kumquathaven/quarantine/messages.h
+++ b/include/kumquathaven/quarantine/messages.h
@@ -26,6 +26,10 @@
 Result<PartVerdict> decodeVerdict(std::string_view bytes, const std::string &peer, TimePoint now,
                                   std::uint64_t wallNow);
 
+/// Returns what an instance knows as JSON text for operators: the verdicts, and the parts under
+/// which servers crashed, with ages and times in seconds.
+std::string describeParts(const Evidence &evidence, TimePoint now);
+
 /// Encodes and decodes all news in one message between two instances.
 std::string encodeNews(const QuarantineNews &news, TimePoint now, std::uint64_t wallNow);
 Result<QuarantineNews> decodeNews(std::string_view bytes, const std::string &peer, TimePoint now,
--- a/lib/entry/fleetquarantine.cpp
+++ b/lib/entry/fleetquarantine.cpp
@@ -128,6 +128,23 @@
     return mayRetry || !hasEnded;
 }
 
+std::string FleetQuarantine::describe(TimePoint now)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_parts.judge(now);
+    return quarantine::describeParts(m_parts.evidence(), now);
+}
+
+bool FleetQuarantine::lift(const std::string &block, TimePoint now)
+{
+    const bool isLifted = [&] {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        return m_parts.lift(block, now);
+    }();
+    tellOthers(now);
+    return isLifted;
+}
+
 void FleetQuarantine::receive(const std::string &peer, const std::string &body, TimePoint now)
 {
     const bool isUnderstood = orElse(
--- a/lib/entry/fleetquarantine.h
+++ b/lib/entry/fleetquarantine.h
@@ -53,6 +53,12 @@
     bool checkUpstream(const catalogue::Upstream &upstream, const std::vector<std::string> &blocks,
                        TimePoint now);
 
+    /// Returns what this instance knows, for operators.
+    std::string describe(TimePoint now);
+
+    /// Lifts a verdict on all entries. Returns false if there is none.
+    bool lift(const std::string &block, TimePoint now);
+
 private:
     void receive(const std::string &peer, const std::string &body, TimePoint now);
     void tellOthers(TimePoint now);
--- a/lib/entry/operatorserver.cpp
+++ b/lib/entry/operatorserver.cpp
@@ -1,5 +1,7 @@
 #include "operatorserver.h"
 
+#include "fleetquarantine.h"
+
 #include <nlohmann/json.hpp>
 
 namespace kumquathaven::entry {
@@ -82,6 +84,15 @@
     }
     if (request.path == "/v1/status")
         return answer(200, "application/json", statusBody(state));
+    if (request.path == "/v1/quarantine" && request.method == "GET")
+        return answer(200, "application/json", state.quarantine->describe(monotonicNow()));
+    if (request.path == "/v1/quarantine" && request.method == "POST") {
+        const auto body = nlohmann::json::parse(request.body, nullptr, false);
+        const std::string part = body.is_object() ? body.value("lift", std::string()) : "";
+        const bool isLifted = state.quarantine->lift(part, monotonicNow());
+        return answer(isLifted ? 200 : 404, "application/json",
+                      nlohmann::json({{"lifted", isLifted}}).dump());
+    }
     if (request.path == "/v1/drain" && request.method == "POST") {
         state.drainRequested = true;
         return answer(202, "application/json", "{\"draining\":true}");
--- a/lib/gateway/gatewayrole.cpp
+++ b/lib/gateway/gatewayrole.cpp
@@ -9,6 +9,7 @@
 
 #include "kumquathaven/base/walltime.h"
 #include "kumquathaven/feed/client.h"
+#include "kumquathaven/quarantine/messages.h"
 #include "kumquathaven/runtime/httpserver.h"
 #include "kumquathaven/runtime/supervisor.h"
 #include "kumquathaven/telemetry/log.h"
@@ -17,9 +18,12 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 #include <atomic>
 #include <cstdlib>
+#include <future>
 #include <thread>
 #include <utility>
 
@@ -33,6 +37,7 @@
 /// connections that were accepted last arrive in that time.
 constexpr Duration lingerTime = std::chrono::milliseconds(300);
 constexpr Duration leavingPoll = std::chrono::milliseconds(100);
+constexpr Duration operatorWait = std::chrono::seconds(2);
 constexpr std::uint32_t probeThreads = 4;
 constexpr int exitAfterFailure = 1;
 wire::HubOptions hubOptions(const settings::Settings &settings, std::uint64_t incarnation)
@@ -60,6 +65,7 @@
     void updateGauges(TimePoint now);
     void announce(catalogue::InstanceState state);
     void answerProbe(runtime::HttpExchange &exchange);
+    void answerQuarantine(runtime::HttpExchange &exchange);
     void continueLeaving();
     void endLoop();
 
@@ -284,6 +290,8 @@
             {isReady ? 200 : 503, "text/plain", {}, isReady ? "ready\n" : "not ready\n"});
     } else if (path == "/metrics") {
         exchange.reply({200, "text/plain; version=0.0.4", {}, metrics.exposition()});
+    } else if (path == "/v1/quarantine") {
+        answerQuarantine(exchange);
     } else if (path == "/healthz") {
         exchange.reply({200, "text/plain", {}, "ok\n"});
     } else {
@@ -291,6 +299,34 @@
     }
 }
 
+/// Tells an operator which parts of prompts are refused, or lifts a verdict.
+void GatewayRole::Impl::answerQuarantine(runtime::HttpExchange &exchange)
+{
+    const runtime::HttpRequest &request = exchange.request();
+    const auto body = nlohmann::json::parse(request.body, nullptr, false);
+    const std::string part = body.is_object() ? body.value("lift", std::string()) : std::string();
+    const bool isLift = request.method == "POST";
+    // The table belongs to the loop's thread.
+    const auto result = std::make_shared<std::promise<std::string>>();
+    boost::asio::post(gateway.loop, [this, result, part, isLift] {
+        const TimePoint now = monotonicNow();
+        if (isLift)
+            result->set_value(gateway.quarantine.lift(part, now) ? "{\"lifted\":true}" : "");
+        else
+            result->set_value(quarantine::describeParts(gateway.quarantine.evidence(), now));
+    });
+    std::future<std::string> text = result->get_future();
+    if (text.wait_for(operatorWait) != std::future_status::ready) {
+        exchange.reply({503, "text/plain", {}, "the event loop does not answer\n"});
+        return;
+    }
+    const std::string answer = text.get();
+    exchange.reply({answer.empty() ? 404 : 200,
+                    "application/json",
+                    {},
+                    answer.empty() ? "{\"lifted\":false}" : answer});
+}
+
 /// Takes the next step of leaving. Called on the loop, since a request may be accepted at any
 /// moment before.
 void GatewayRole::Impl::continueLeaving()
--- a/lib/quarantine/messages.cpp
+++ b/lib/quarantine/messages.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <map>
 
 namespace kumquathaven::quarantine {
 
@@ -132,6 +133,26 @@
     return Result<PartVerdict>(std::move(out));
 }
 
+std::string describeParts(const Evidence &evidence, TimePoint now)
+{
+    json verdicts = json::array();
+    for (const auto &[part, it] : evidence.verdicts)
+        verdicts.push_back({{"part", part},
+                            {"crashes", it.crashes},
+                            {"inForce", isInForce(it, now)},
+                            {"ageSeconds", toSeconds(now - it.decidedAt)},
+                            {"lapsesInSeconds", toSeconds(it.expiresAt - now)}});
+    std::map<std::string, std::size_t> crashes;
+    for (const Crash &crash : evidence.crashes) {
+        for (const auto &it : crash.suspects)
+            ++crashes[it.first];
+    }
+    json suspects = json::array();
+    for (const auto &[part, count] : crashes)
+        suspects.push_back({{"part", part}, {"crashes", count}});
+    return json({{"verdicts", std::move(verdicts)}, {"suspects", std::move(suspects)}}).dump();
+}
+
 std::string encodeNews(const QuarantineNews &news, TimePoint now, std::uint64_t wallNow)
 {
     json crashes = json::array();
--- a/test/system/crashing_prompt.py
+++ b/test/system/crashing_prompt.py
@@ -1,11 +1,14 @@
 """Prompts with a beginning that crashes each engine that begins to answer them, on the native interface."""
 
 import concurrent.futures
+import json
+import os
+import subprocess
 import threading
 import time
 import unittest
 
-from control_common import wait_for
+from control_common import BIN, wait_for
 from deployment import Deployment, chat_body, send
 
 MARK = "tray 13 is bottomless"
@@ -81,5 +84,21 @@
         self.assertEqual(set(sound), {200})
 
 
+    def test_verdicts_are_shown_to_operators_and_lifted_by_them(self):
+        first, second = self.deployment.entries
+
+        def verdicts(entry):
+            out = subprocess.run([os.path.join(BIN, "kumquatctl"), "--output", "json", "quarantine",
+                                  f"127.0.0.1:{entry.operators}"], capture_output=True, text=True, check=True).stdout
+            return {it["part"]: it for it in json.loads(out)["verdicts"] if it["inForce"]}
+        # Tests run in the order of their names: the one before brings the verdict about.
+        part = next(iter(verdicts(first)))
+        self.assertIn(part, verdicts(second))
+        self.assertGreaterEqual(verdicts(first)[part]["crashes"], 3)
+        subprocess.run([os.path.join(BIN, "kumquatctl"), "quarantine", f"127.0.0.1:{first.operators}", "lift", part], check=True)
+        for entry in (first, second):
+            wait_for(lambda entry=entry: part not in verdicts(entry), 5, "the verdict is still in force")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tools/kumquatctl/commands.cpp
+++ b/tools/kumquatctl/commands.cpp
@@ -165,6 +165,35 @@
     return {};
 }
 
+/// Shows which parts of prompts an entry refuses, or lifts a verdict.
+Result<void> quarantine(const Arguments &arguments)
+{
+    const std::vector<std::string> &words = arguments.words;
+    const bool isLift = words.size() == 4 && words[2] == "lift";
+    const settings::Address entry =
+        words.size() > 1 ? settings::parseAddress(words[1]) : settings::Address();
+    if ((words.size() != 2 && !isLift) || entry.port == 0)
+        return fail(usage("quarantine needs the operators' address of an entry, and lift PART"));
+    const ControlClient client({entry}, arguments.timeout);
+    const std::string path = "/v1/quarantine";
+    if (isLift) {
+        BOOST_LEAF_AUTO(reply, client.call(entry, "POST", path, {{"lift", words[3]}}));
+        BOOST_LEAF_CHECK(bodyOf(reply));
+        std::printf("lifted the verdict about %s\n", words[3].c_str());
+        return {};
+    }
+    BOOST_LEAF_AUTO(reply, client.call(entry, "GET", path));
+    BOOST_LEAF_AUTO(body, bodyOf(reply));
+    if (arguments.asJson) {
+        std::printf("%s\n", body.dump().c_str());
+        return {};
+    }
+    printTable(body["verdicts"], {"part", "crashes", "inForce", "ageSeconds", "lapsesInSeconds"});
+    std::printf("\nsuspects\n");
+    printTable(body["suspects"], {"part", "crashes"});
+    return {};
+}
+
 /// Returns "version +adapter role", as far as they are set.
 std::string servedText(const json &served)
 {
@@ -335,6 +364,8 @@
         return key(arguments);
     if (command == "status")
         return status(arguments);
+    if (command == "quarantine")
+        return quarantine(arguments);
     if (command == "drain")
         return drain(arguments);
     if (command == "members")
--- a/tools/kumquatctl/main.cpp
+++ b/tools/kumquatctl/main.cpp
@@ -38,6 +38,9 @@
   status [WHAT]              members, instances, upstreams, customers, or all
   orders                     what engines are ordered to serve, and how far they are
   drain INSTANCE             send callers away from an entry instance
+  quarantine ENTRY           parts of prompts that an entry refuses since they crash servers; ENTRY
+                             is the operators' address of any entry
+  quarantine ENTRY lift PART let requests with a part run again, on all entries
   members status             the control members and what the leader knows of them
   members add INSTANCE       admit a new control member
   members remove INSTANCE    remove a control member
@@ -77,6 +80,7 @@
   kumquatctl --output json get route | jq .
   kumquatctl --expect 41 remove upstream engine-7
   kumquatctl status members
+  kumquatctl quarantine 10.0.1.1:7400 lift 5c1e07a2
   kumquatctl explain 9c41d07be2a35f68 entry-*.log control-*.log
 )";
 
