--- a/test/system/platform_crashing_part.py
+++ b/test/system/platform_crashing_part.py
@@ -1,6 +1,7 @@
 """Requests with a part of a prompt that ends each server that begins to answer them, at several entries."""
 
 import concurrent.futures
+import json
 import threading
 import time
 import unittest
@@ -104,6 +105,20 @@
         sound = [it[1] for it in answers["sound"] if it[0] > settled]
         self.assertGreater(len(sound), 100)
         self.assertEqual(set(sound), {200})
+        self.check_lifting()
+
+    def verdicts(self, entry):
+        _, body, _ = self.it.call(f"127.0.1.{entry}", "operators", "GET", "/v1/quarantine")
+        return [it["part"] for it in json.loads(body)["verdicts"] if it["inForce"]]
+
+    def check_lifting(self):
+        for entry in range(1, ENTRIES + 1):
+            self.assertEqual(self.verdicts(entry), [PART])
+        lift = json.dumps({"lift": PART})
+        self.assertEqual(self.it.call("127.0.1.1", "operators", "POST", "/v1/quarantine", lift)[0], 200)
+        for entry in range(1, ENTRIES + 1):
+            wait_for(lambda entry=entry: not self.verdicts(entry), 5, "the verdict is still in force")
+        self.assertEqual(self.it.call("127.0.1.1", "operators", "POST", "/v1/quarantine", lift)[0], 404)
 
 
 if __name__ == "__main__":
