Quarantine: evidence is judged only after it changed, and a rejection is no answer

Cause: each tick judged all recorded crashes anew, a part of a small entry's processor time where servers crash often; and an answer with an error status cleared the parts of its prompt, though the server had not begun to answer. Change: a review is due after a crash until no case waits for its settle time, and looks only at parts with enough crashes; answers count from status 2xx on, on both interfaces. An entry that starts is shown to learn the verdicts on the native interface.

--- a/include/kumquathaven/quarantine/evidence.h
+++ b/include/kumquathaven/quarantine/evidence.h
@@ -114,6 +114,8 @@
     std::deque<Crash> crashes;
     AnsweredParts answered;
     std::map<std::string, Verdict> verdicts;
+    /// Whether crashes were recorded that judge() has not come to an end with.
+    bool isReviewDue = false;
     /// Crashes that were dropped because there were too many, and convictions that found no room.
     std::uint64_t crashesDropped = 0;
     std::uint64_t verdictsDropped = 0;
--- a/lib/entry/fleetquarantine.cpp
+++ b/lib/entry/fleetquarantine.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t maxBlocks = 64;
 /// An engine may crash in the middle of the first events that it writes.
 constexpr std::uint32_t minEventsOfAnswer = 2;
+/// An engine that rejects a request has not begun to answer its prompt.
+constexpr int firstStatusOfRejections = 300;
 constexpr Duration checkTimeout = std::chrono::milliseconds(300);
 
 bool isEmpty(const quarantine::QuarantineNews &news)
@@ -52,7 +54,9 @@
 
 bool showsSoundPrompt(const AttemptReport &report)
 {
-    return report.end == AttemptEnd::Complete || report.events >= minEventsOfAnswer;
+    const bool isRejected = report.status >= firstStatusOfRejections;
+    return (report.end == AttemptEnd::Complete && !isRejected)
+        || report.events >= minEventsOfAnswer;
 }
 
 FleetQuarantine::FleetQuarantine(std::string ownName, wire::Hub &hub, feed::PeerLinks &peerLinks,
--- a/lib/entry/upstreamattempt.cpp
+++ b/lib/entry/upstreamattempt.cpp
@@ -282,6 +282,7 @@
     BOOST_LEAF_AUTO(isReady, awaitHead(attempt));
     if (!isReady)
         return {};
+    attempt.report.status = attempt.call.status();
     const std::string echoed = runtime::headerValue(attempt.call.headers(), "X-Request-Id");
     if (!echoed.empty() && echoed != attempt.request.requestId)
         return fail(attemptError(attempt, ErrorCode::UpstreamFailed, "upstream.match",
--- a/lib/entry/upstreamattempt.h
+++ b/lib/entry/upstreamattempt.h
@@ -38,6 +38,8 @@
 struct AttemptReport
 {
     AttemptEnd end = AttemptEnd::Failed;
+    /// HTTP status of the answer; zero if there was none.
+    int status = 0;
     /// Set unless the attempt is complete.
     std::optional<Error> error;
     std::optional<TokenUsage> usage;
--- a/lib/gateway/exchangeanswer.cpp
+++ b/lib/gateway/exchangeanswer.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t maxQueuedBytes = std::size_t{256} * 1024;
 constexpr Duration serverFullRetryAfter = std::chrono::milliseconds(200);
 constexpr int statusOk = 200;
+constexpr int firstStatusOfRejections = 300;
 constexpr int statusServerError = 500;
 /// A server may crash in the middle of the first events that it writes. Its answer has begun with
 /// this many whole events.
@@ -204,7 +205,8 @@
     }
     const std::string remainder = m_eventFramer.takePartial() + std::exchange(m_bufferedBody, {});
     forwardHead();
-    if (!m_isServerError)
+    // A server that rejects a request has not begun to answer its prompt.
+    if (m_answerHead->status < firstStatusOfRejections)
         recordAnswerBegun();
     endAttempt(m_isServerError ? AttemptEnd::ServerError : AttemptEnd::Answered);
     const auto caller = m_caller.lock();
--- a/lib/quarantine/evidence.cpp
+++ b/lib/quarantine/evidence.cpp
@@ -125,14 +125,25 @@
 /// Returns the complete cases, the strongest first.
 std::vector<Case> completeCases(const Evidence &evidence)
 {
-    std::map<std::string, std::uint32_t> parts;
+    struct Mentions
+    {
+        std::size_t crashes = 0;
+        std::uint32_t position = 0;
+    };
+    std::map<std::string, Mentions> parts;
     for (const Crash &crash : evidence.crashes) {
-        for (const auto &[part, position] : crash.suspects)
-            parts[part] = std::max(parts[part], position);
+        for (const auto &[part, position] : crash.suspects) {
+            Mentions &it = parts[part];
+            ++it.crashes;
+            it.position = std::max(it.position, position);
+        }
     }
     std::vector<Case> cases;
-    for (const auto &[part, position] : parts) {
-        Case found = caseAgainst(evidence, part, position);
+    for (const auto &[part, mentions] : parts) {
+        // Nearly all parts are suspects of one crash only.
+        if (mentions.crashes < evidence.policy.minCrashes)
+            continue;
+        Case found = caseAgainst(evidence, part, mentions.position);
         if (found.completeAt)
             cases.push_back(std::move(found));
     }
@@ -260,6 +271,7 @@
     }
     if (crash.isExplained)
         return {};
+    evidence.isReviewDue = true;
     for (const Suspect &it : suspects) {
         if (crash.suspects.size() < evidence.policy.maxSuspects)
             crash.suspects.emplace(it.part, it.position);
@@ -281,10 +293,11 @@
 {
     removeOld(evidence, now);
     std::vector<std::string> convicted;
-    while (true) {
+    while (evidence.isReviewDue) {
         const std::vector<Case> cases = completeCases(evidence);
+        evidence.isReviewDue = !cases.empty();
         if (cases.empty() || now - *cases.front().completeAt < evidence.policy.settleTime)
-            return convicted;
+            break;
         const Case &strongest = cases.front();
         explainCrashes(evidence, strongest);
         // Another instance was faster.
@@ -298,6 +311,7 @@
         convict(evidence, strongest, now);
         convicted.push_back(strongest.part);
     }
+    return convicted;
 }
 
 Admission admit(Evidence &evidence, const std::vector<std::string> &parts, TimePoint now)
--- a/test/system/crashing_prompt.py
+++ b/test/system/crashing_prompt.py
@@ -95,6 +95,12 @@
         part = next(iter(verdicts(first)))
         self.assertIn(part, verdicts(second))
         self.assertGreaterEqual(verdicts(first)[part]["crashes"], 3)
+        # An entry that starts learns it from the others.
+        second.process.kill()
+        second.process.wait()
+        self.deployment.start_entry(second)
+        self.deployment.wait_ready([second])
+        wait_for(lambda: part in verdicts(second), 5, "the verdict did not reach an entry that started")
         subprocess.run([os.path.join(BIN, "kumquatctl"), "quarantine", f"127.0.0.1:{first.operators}", "lift", part], check=True)
         for entry in (first, second):
             wait_for(lambda entry=entry: part not in verdicts(entry), 5, "the verdict is still in force")
--- a/unittests/quarantine/evidencetest.cpp
+++ b/unittests/quarantine/evidencetest.cpp
@@ -56,6 +56,16 @@
     CHECK(admit(evidence, {"other"}, now) == Admission::Allowed);
 }
 
+TEST_CASE("a verdict that has to settle is not forgotten meanwhile")
+{
+    Evidence evidence;
+    const TimePoint now = crash(evidence, 3, {"bad"});
+    for (Duration waited(0); waited < milliseconds(400); waited += milliseconds(30))
+        CHECK(judge(evidence, now - milliseconds(500) + waited).empty());
+    CHECK(judge(evidence, now) == Parts{"bad"});
+    CHECK_FALSE(evidence.isReviewDue);
+}
+
 TEST_CASE("servers that are lost at one moment convict no part")
 {
     Evidence evidence;
