--- a/unittests/quarantine/evidencetest.cpp
+++ b/unittests/quarantine/evidencetest.cpp
@@ -20,6 +20,7 @@
 std::vector<Suspect> suspects(const std::vector<std::string> &parts)
 {
     std::vector<Suspect> out;
+    out.reserve(parts.size());
     for (const std::string &it : parts)
         out.push_back({it, static_cast<std::uint32_t>(out.size())});
     return out;
