--- a/include/kumquathaven/http/message.h
+++ b/include/kumquathaven/http/message.h
@@ -3,8 +3,10 @@
 #ifndef KUMQUATHAVEN_HTTP_MESSAGE_H
 #define KUMQUATHAVEN_HTTP_MESSAGE_H
 
+#include "kumquathaven/base/enumnames.h"
 #include "kumquathaven/runtime/http.h"
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -33,6 +35,17 @@
     bool endsWithConnection = false;
 };
 
+/// What marks the end of an answer's body.
+enum class BodyFrame { Length, Chunks, Connection };
+
+constexpr std::array<EnumName<BodyFrame>, 3> bodyFrameNames = {{
+    {BodyFrame::Length, "length"},
+    {BodyFrame::Chunks, "chunks"},
+    {BodyFrame::Connection, "connection"},
+}};
+
+BodyFrame bodyFrameOf(const Head &head);
+
 /// Returns the path of a request's target, without what follows a question mark.
 std::string pathOf(const Head &head);
 
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -126,8 +126,8 @@
     bool m_hasAnswerBegun = false;
     /// Whether the server answered with an error of its own.
     bool m_isServerError = false;
-    /// Whether the answer to this attempt has neither a length nor chunks.
-    bool m_endsWithConnection = false;
+    /// What marks the end of the answer to this attempt.
+    http::BodyFrame m_bodyFrame = http::BodyFrame::Length;
     /// Events of the answer to this attempt.
     answers::EventBoundary m_eventBoundary;
     /// When the last bytes of the answer to this attempt arrived, and the pause before them.
--- a/lib/gateway/exchangeanswer.cpp
+++ b/lib/gateway/exchangeanswer.cpp
@@ -32,7 +32,7 @@
         return;
     }
     m_outcome = Outcome::Ran;
-    m_endsWithConnection = head.endsWithConnection;
+    m_bodyFrame = http::bodyFrameOf(head);
     const TimePoint now = monotonicNow();
     const bool isFailure = head.status >= statusServerError;
     m_isServerError = isFailure;
@@ -199,7 +199,8 @@
         return;
     }
     const bool isEvents = isStream() && m_answerHead->status == statusOk;
-    if (isEvents && !answers::isCompleteStream(m_eventBoundary, m_endsWithConnection)) {
+    const bool endsWithConnection = m_bodyFrame == http::BodyFrame::Connection;
+    if (isEvents && !answers::isCompleteStream(m_eventBoundary, endsWithConnection)) {
         handleFailure(CallFailure::Cut);
         return;
     }
@@ -212,7 +213,8 @@
     const auto caller = m_caller.lock();
     m_gateway.counters.answered.add();
     close(telemetry::LogLevel::Info, "answered",
-          {{"status", std::to_string(m_answerHead->status)}});
+          {{"status", std::to_string(m_answerHead->status)},
+           {"frame", std::string(nameOf(http::bodyFrameNames, m_bodyFrame))}});
     if (caller) {
         caller->sendBody(remainder);
         caller->finish();
--- a/lib/http/message.cpp
+++ b/lib/http/message.cpp
@@ -227,6 +227,14 @@
     return std::exchange(m_impl->waiting, {});
 }
 
+BodyFrame bodyFrameOf(const Head &head)
+{
+    if (head.endsWithConnection)
+        return BodyFrame::Connection;
+    const bool isChunked = !runtime::headerValue(head.fields, "Transfer-Encoding").empty();
+    return isChunked ? BodyFrame::Chunks : BodyFrame::Length;
+}
+
 std::string pathOf(const Head &head)
 {
     return head.target.substr(0, head.target.find('?'));
