Gateway: an answer that ends with its connection is complete only if its server runs on

Callers got a broken-off answer framed as complete: a server that crashes closes its connections in order as well, and without a length or chunks an orderly end was the mark of a complete answer. It needs an end between two events of a stream, or anywhere in a plain body. Cause: the order of the end alone decided. Change: before such an answer is completed, one connection tells whether its server has ended; if so the answer is resumed, run again, cut or failed like any other that broke off. Servers that are known to leave are not asked.

--- a/lib/gateway/endedservers.cpp
+++ b/lib/gateway/endedservers.cpp
@@ -26,6 +26,7 @@
     TimePoint cutAt;
     /// Shared parts of the requests that were cut.
     std::vector<std::vector<std::string>> requests;
+    std::vector<Result> results;
 };
 
 EndedServers::EndedServers(boost::asio::io_context &loop, telemetry::Metrics &metrics, Ended ended)
@@ -38,14 +39,22 @@
 { }
 
 void EndedServers::check(const Pick &pick, const std::vector<std::string> &parts, TimePoint now)
+{
+    startCheck(pick, now).requests.push_back(parts);
+}
+
+void EndedServers::ask(const Pick &pick, Result result, TimePoint now)
+{
+    startCheck(pick, now).results.push_back(std::move(result));
+}
+
+/// Returns the running check of a server, or starts one.
+EndedServers::Check &EndedServers::startCheck(const Pick &pick, TimePoint now)
 {
     const auto running = m_checks.find(pick.start);
-    if (running != m_checks.end()) {
-        running->second->requests.push_back(parts);
-        return;
-    }
+    if (running != m_checks.end())
+        return *running->second;
     const auto check = std::make_shared<Check>(m_loop, now);
-    check->requests.push_back(parts);
     m_checks[pick.start] = check;
     const std::weak_ptr<Check> weak = check;
     check->connection = http::Connection::connect(
@@ -58,6 +67,7 @@
         if (!ec && !weak.expired())
             finish(start, true);
     });
+    return *check;
 }
 
 void EndedServers::finish(const std::string &start, bool isAlive)
@@ -66,12 +76,17 @@
     const std::shared_ptr<Check> check = std::exchange(it->second, nullptr);
     m_checks.erase(it);
     check->connection->close();
-    (isAlive ? m_alive : m_ended).add();
-    telemetry::logLine(telemetry::LogLevel::Warn, "servers",
-                       isAlive ? "server cut requests" : "server ended under requests",
-                       {{"server", start}, {"requests", std::to_string(check->requests.size())}});
-    if (!isAlive)
-        m_onEnded(start, check->cutAt, check->requests);
+    if (!check->requests.empty()) {
+        (isAlive ? m_alive : m_ended).add();
+        telemetry::logLine(
+            telemetry::LogLevel::Warn, "servers",
+            isAlive ? "server cut requests" : "server ended under requests",
+            {{"server", start}, {"requests", std::to_string(check->requests.size())}});
+        if (!isAlive)
+            m_onEnded(start, check->cutAt, check->requests);
+    }
+    for (const Result &result : check->results)
+        result(!isAlive);
 }
 
 } // namespace kumquathaven::gateway
--- a/lib/gateway/endedservers.h
+++ b/lib/gateway/endedservers.h
@@ -1,5 +1,6 @@
-// Tells the end of a server from the end of a connection: after a request was cut before its answer
-// began, one connection is opened to its server. A server that ended refuses it.
+// Tells the end of a server from the end of a connection: one connection is opened to the server. A
+// server that ended refuses it. Checked after a request was cut before its answer began, and after
+// an answer whose end only the end of its connection marks.
 
 #ifndef KUMQUATHAVEN_LIB_GATEWAY_ENDEDSERVERS_H
 #define KUMQUATHAVEN_LIB_GATEWAY_ENDEDSERVERS_H
@@ -32,13 +33,21 @@
     EndedServers(const EndedServers &) = delete;
     EndedServers &operator=(const EndedServers &) = delete;
 
+    /// Called with whether a server has ended.
+    using Result = std::function<void(bool hasEnded)>;
+
     /// Checks whether the server of a request whose connection ended has ended itself. Requests
     /// that are cut together share one check.
     void check(const Pick &pick, const std::vector<std::string> &parts, TimePoint now);
 
+    /// Checks whether a server has ended, and calls \p result from the event loop. Shares a running
+    /// check of the server.
+    void ask(const Pick &pick, Result result, TimePoint now);
+
 private:
     struct Check;
 
+    Check &startCheck(const Pick &pick, TimePoint now);
     void finish(const std::string &start, bool isAlive);
 
     boost::asio::io_context &m_loop;
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -79,6 +79,8 @@
     void handleNotRun(const deployment::AnswerHead &answer);
     void handleBody(std::string_view bytes);
     void handleEnd();
+    void checkServerAtEnd();
+    void completeAnswer();
     void handleFailure(CallFailure failure);
     void forward(std::string bytes);
     void forwardHead();
--- a/lib/gateway/exchangeanswer.cpp
+++ b/lib/gateway/exchangeanswer.cpp
@@ -204,6 +204,30 @@
         handleFailure(CallFailure::Cut);
         return;
     }
+    if (endsWithConnection && !isLeaving(m_gateway.servers, m_pick->start))
+        checkServerAtEnd();
+    else
+        completeAnswer();
+}
+
+/// Completes an answer that ended with its connection, unless its server has ended: a server that
+/// crashes closes its connections in order as well.
+void Exchange::checkServerAtEnd()
+{
+    const auto result = [weak = weak_from_this(), attempt = m_attempts](bool hasEnded) {
+        const auto self = weak.lock();
+        if (!self || self->m_isFinished || self->m_attempts != attempt)
+            return;
+        if (hasEnded)
+            self->handleFailure(CallFailure::Cut);
+        else
+            self->completeAnswer();
+    };
+    m_gateway.endedServers.ask(*m_pick, result, monotonicNow());
+}
+
+void Exchange::completeAnswer()
+{
     const std::string remainder = m_eventFramer.takePartial() + std::exchange(m_bufferedBody, {});
     forwardHead();
     // A server that rejects a request has not begun to answer its prompt.
--- a/unittests/gateway/exchangefixture.cpp
+++ b/unittests/gateway/exchangefixture.cpp
@@ -114,6 +114,14 @@
         it->reset();
 }
 
+void TestServer::end()
+{
+    isCut = true;
+    m_acceptor.close();
+    for (const auto &it : connections)
+        it->close();
+}
+
 deployment::ListedServer TestServer::listed(const std::string &service, std::uint64_t weights) const
 {
     deployment::ListedServer it;
@@ -251,6 +259,15 @@
     return true;
 }
 
+void ExchangeFixture::runFor(Duration time)
+{
+    runUntil(
+        [] {
+            return false;
+        },
+        time);
+}
+
 std::size_t countOf(const std::string &text, const std::string &part)
 {
     std::size_t n = 0;
--- a/unittests/gateway/exchangefixture.h
+++ b/unittests/gateway/exchangefixture.h
@@ -55,6 +55,8 @@
     void poll();
     /// Resets all connections and refuses new ones.
     void cut();
+    /// Closes all connections in order and refuses new ones.
+    void end();
 
     deployment::ListedServer listed(const std::string &service, std::uint64_t weights) const;
 
@@ -96,6 +98,8 @@
     bool runUntil(const std::function<bool()> &condition,
                   Duration maxTime = std::chrono::seconds(3));
 
+    void runFor(Duration time);
+
     settings::Settings settings = platformSettings();
     deployment::Dialect dialect = testDialect();
     telemetry::Metrics metrics;
