Runtime: a body that ends before its length or its last chunk is no answer

Callers of plain services on the native interface got an answer that broke off inside its chunks as a whole one, with a length that fits. Cause: the HTTP library takes the end of the connection for the end of a body in chunks, and nothing behind it looked at the frame. Evidence: an answer in chunks that is cut at each byte was complete at each; the test failed. Change: HttpCall::read() fails if the connection ended inside a body with a length or chunks, for every call of every role. Unit tests of entry, runtime and control pass.

--- a/lib/runtime/httpclient.cpp
+++ b/lib/runtime/httpclient.cpp
@@ -113,6 +113,8 @@
     std::istream *in = nullptr;
     int status = 0;
     HeaderFields headers;
+    /// Whether a length or chunks mark the end of the body.
+    bool isFramed = false;
 
     Error error(ErrorCode code, const std::string &step, const std::string &message,
                 Outcome outcome) const
@@ -218,6 +220,7 @@
                                       Outcome::Unknown));
         m_impl->status = response.getStatus();
         m_impl->session->setChunked(response.getChunkedTransferEncoding());
+        m_impl->isFramed = response.getChunkedTransferEncoding() || response.hasContentLength();
         for (const auto &it : response)
             m_impl->headers.emplace_back(it.first, it.second);
     } catch (const Poco::Exception &e) {
@@ -244,8 +247,15 @@
         if (buf.in_avail() <= 0 && !m_impl->session->isReadable(timeout))
             return ReadPart{ReadState::Timeout, {}};
         m_impl->socket->limitPart(monotonicNow() + m_impl->timeouts.silence);
-        if (buf.sgetc() == std::char_traits<char>::eof())
+        if (buf.sgetc() == std::char_traits<char>::eof()) {
+            // The library takes the end of the connection for the end of any body. It reads no byte
+            // behind a body with a length or in chunks.
+            if (m_impl->isFramed && m_impl->socket->hasEnded())
+                return fail(m_impl->error(ErrorCode::UpstreamFailed, "upstream.read",
+                                          "the connection was closed inside the body",
+                                          Outcome::Unknown));
             return ReadPart{ReadState::End, {}};
+        }
         ReadPart part{ReadState::Data, {}};
         const auto n = std::min<std::streamsize>(buf.in_avail(), readSize);
         part.data.resize(static_cast<std::size_t>(n));
--- a/unittests/entry/attempttest.cpp
+++ b/unittests/entry/attempttest.cpp
@@ -15,13 +15,15 @@
 namespace {
 
 // Accepts one connection, reads a request head, sends raw bytes and closes. The last \p heldBytes
-// follow after \p held.
+// follow after \p held. With \p ends it refuses connections before it closes.
 class RawUpstream
 {
 public:
-    explicit RawUpstream(std::string answer, Duration held = Duration(0), std::size_t heldBytes = 0)
+    explicit RawUpstream(std::string answer, Duration held = Duration(0), std::size_t heldBytes = 0,
+                         bool ends = false)
         : m_held(held)
         , m_heldBytes(heldBytes)
+        , m_ends(ends)
         , m_socket(Poco::Net::SocketAddress("127.0.0.1", 0))
         , m_thread([this, text = std::move(answer)] {
             run(text);
@@ -51,10 +53,13 @@
                 peer.sendBytes(answer.data() + first, static_cast<int>(m_heldBytes));
         } else
             std::this_thread::sleep_for(std::chrono::milliseconds(600));
+        if (m_ends)
+            m_socket.close();
     }
 
     Duration m_held;
     std::size_t m_heldBytes;
+    bool m_ends;
     Poco::Net::ServerSocket m_socket;
     std::thread m_thread;
 };
@@ -171,6 +176,38 @@
     }
 }
 
+// Guards against a plain answer that was broken off and becomes a whole one.
+TEST_CASE("a plain answer that ends before its frame does is not complete")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n";
+    const auto attemptOf = [](const std::string &answer, bool upstreamEnds) {
+        RawUpstream upstream(answer, Duration(0), 0, upstreamEnds);
+        return attemptWith(upstream.address(), false, {}, std::chrono::milliseconds(300), "");
+    };
+    SUBCASE("chunks")
+    {
+        const std::string answer = head
+            + "Transfer-Encoding: chunked\r\n\r\n4\r\nfirs\r\n12\r\nt and second "
+              "piece\r\n0\r\n\r\n";
+        const std::size_t headLength = answer.find("\r\n\r\n") + 4;
+        for (std::size_t n = headLength; n <= answer.size(); ++n) {
+            CAPTURE(answer.substr(headLength, n - headLength));
+            const auto out = attemptOf(answer.substr(0, n), false);
+            const bool isWhole = n == answer.size();
+            CHECK(out.report.end == (isWhole ? AttemptEnd::Complete : AttemptEnd::Failed));
+            CHECK((isWhole || out.report.error->outcome == Outcome::Unknown));
+        }
+    }
+    SUBCASE("a length")
+    {
+        const std::string answer = head + "Content-Length: 4\r\n\r\nbody";
+        for (std::size_t n = 0; n < 4; ++n)
+            CHECK(attemptOf(answer.substr(0, answer.size() - 4 + n), false).report.end
+                  == AttemptEnd::Failed);
+        CHECK(attemptOf(answer, true).report.end == AttemptEnd::Complete);
+    }
+}
+
 TEST_CASE("a silent upstream ends in a timeout, and at once if the caller has gone")
 {
     {
--- a/unittests/gateway/answerendtest.cpp
+++ b/unittests/gateway/answerendtest.cpp
@@ -94,8 +94,8 @@
     std::string bytes = head + "\r\n";
     if (place == Place::BeforeFirst)
         return bytes;
-    const bool isCutInside = place == Place::InsideEvent || place == Place::BetweenEvents
-        || place == Place::ChunkSize;
+    const bool isCutInside =
+        place == Place::InsideEvent || place == Place::BetweenEvents || place == Place::ChunkSize;
     for (std::size_t n = 0; n < (isCutInside ? 2 : pieces.size()); ++n)
         bytes += pieces[n];
     if (place == Place::InsideEvent)
