Entry: a plain answer without a frame is complete only if its upstream runs on

The cause of the gateway's fault, on the native interface: callers of plain services got what an upstream had sent before it crashed as a whole answer, if neither length nor chunks framed it. Cause: the orderly end of the connection alone marked the end of the answer. Change: after such an answer one connection tells whether the upstream has ended; then the attempt has failed with an unknown outcome. Upstreams that are to leave are not asked. Streams need [DONE] and engines' answers must be JSON, so that they were not affected.

--- a/include/kumquathaven/runtime/httpclient.h
+++ b/include/kumquathaven/runtime/httpclient.h
@@ -66,8 +66,8 @@
     int status() const;
     const HeaderFields &headers() const;
 
-    /// Waits up to \p timeout for more of the body. Fails with UpstreamFailed and outcome Unknown if
-    /// the connection ends before the length or the chunks of the body do.
+    /// Waits up to \p timeout for more of the body. Fails with UpstreamFailed and outcome Unknown
+    /// if the connection ends before the length or the chunks of the body do.
     Result<ReadPart> read(Duration timeout);
 
 private:
--- a/lib/entry/fleetquarantine.cpp
+++ b/lib/entry/fleetquarantine.cpp
@@ -6,7 +6,6 @@
 #include "kumquathaven/base/walltime.h"
 #include "kumquathaven/quarantine/messages.h"
 #include "kumquathaven/routing/prefix.h"
-#include "kumquathaven/runtime/httpclient.h"
 
 #include <algorithm>
 #include <utility>
@@ -24,7 +23,6 @@
 constexpr std::uint32_t minEventsOfAnswer = 2;
 /// An engine that rejects a request has not begun to answer its prompt.
 constexpr int firstStatusOfRejections = 300;
-constexpr Duration checkTimeout = std::chrono::milliseconds(300);
 
 bool isEmpty(const quarantine::QuarantineNews &news)
 {
@@ -119,17 +117,16 @@
 bool FleetQuarantine::checkUpstream(const catalogue::Upstream &upstream,
                                     const std::vector<std::string> &blocks, TimePoint now)
 {
-    const bool hasEnded = upstream.state == catalogue::UpstreamState::Serving
-        && runtime::refusesConnections(settings::parseAddress(upstream.address), checkTimeout);
+    const bool isEnded = hasEnded(upstream);
     bool mayRetry = true;
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         mayRetry = m_parts.mayRetryAfterCrash(blocks, now);
-        if (hasEnded)
+        if (isEnded)
             m_parts.recordCrash(upstream.head.name, {blocks}, now);
     }
     tellOthers(now);
-    return mayRetry || !hasEnded;
+    return mayRetry || !isEnded;
 }
 
 std::string FleetQuarantine::describe(TimePoint now)
--- a/lib/entry/upstreamattempt.cpp
+++ b/lib/entry/upstreamattempt.cpp
@@ -16,6 +16,9 @@
 // How often a waiting thread looks whether its caller has gone.
 constexpr Duration callerCheckInterval = std::chrono::milliseconds(100);
 constexpr Duration shortestWait = std::chrono::milliseconds(1);
+/// An upstream that neither accepts nor refuses a connection for this long is not known to have
+/// ended.
+constexpr Duration endCheckTimeout = std::chrono::milliseconds(300);
 constexpr std::size_t maxEventBytes = 1048576;
 constexpr std::string_view eventEnd = "\n\n";
 constexpr std::string_view doneEvent = "data: [DONE]";
@@ -230,6 +233,13 @@
     return {};
 }
 
+/// Returns whether only the end of the connection marks the end of an answer.
+bool endsWithConnection(const runtime::HeaderFields &headers)
+{
+    return runtime::headerValue(headers, "Content-Length").empty()
+        && runtime::headerValue(headers, "Transfer-Encoding").empty();
+}
+
 bool hasWholeBody(const Attempt &attempt, const std::string &body)
 {
     const std::string length = runtime::headerValue(attempt.call.headers(), "Content-Length");
@@ -253,7 +263,10 @@
                                      "the answer is too large", Outcome::Ran));
     }
     const bool isEngine = !attempt.request.route->model.empty();
-    if (!hasWholeBody(attempt, body) || (isEngine && !nlohmann::json::accept(body)))
+    // An upstream that crashes closes its connections in order, too.
+    const bool isUnproven = !isEngine && endsWithConnection(attempt.call.headers());
+    if (!hasWholeBody(attempt, body) || (isEngine && !nlohmann::json::accept(body))
+        || (isUnproven && hasEnded(attempt.upstream)))
         return fail(cutError(attempt));
     attempt.report.usage = usageOf(body);
     runtime::HttpReply reply{attempt.call.status(),
@@ -327,6 +340,12 @@
     return std::move(attempt.report);
 }
 
+bool hasEnded(const catalogue::Upstream &upstream)
+{
+    return upstream.state == catalogue::UpstreamState::Serving
+        && runtime::refusesConnections(settings::parseAddress(upstream.address), endCheckTimeout);
+}
+
 std::optional<TokenUsage> usageOf(const std::string &text)
 {
     const auto value = nlohmann::json::parse(text, nullptr, false);
--- a/lib/entry/upstreamattempt.h
+++ b/lib/entry/upstreamattempt.h
@@ -75,6 +75,9 @@
                          const settings::Bounds &bounds, const runtime::HeaderFields &headers,
                          AnswerSink &sink, const FirstPartWatch &watch = {});
 
+/// Returns whether an upstream has ended: it refuses connections, and was not to leave.
+bool hasEnded(const catalogue::Upstream &upstream);
+
 /// Returns the usage that a JSON answer or event states, if it does.
 std::optional<TokenUsage> usageOf(const std::string &json);
 
--- a/unittests/entry/attempttest.cpp
+++ b/unittests/entry/attempttest.cpp
@@ -177,7 +177,7 @@
 }
 
 // Guards against a plain answer that was broken off and becomes a whole one.
-TEST_CASE("a plain answer that ends before its frame does is not complete")
+TEST_CASE("a plain answer that ends before its frame, or with its upstream, is not complete")
 {
     const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n";
     const auto attemptOf = [](const std::string &answer, bool upstreamEnds) {
@@ -206,6 +206,15 @@
                   == AttemptEnd::Failed);
         CHECK(attemptOf(answer, true).report.end == AttemptEnd::Complete);
     }
+    SUBCASE("the connection")
+    {
+        const std::string answer = head + "Connection: close\r\n\r\nbody";
+        CHECK(attemptOf(answer, false).report.end == AttemptEnd::Complete);
+        const auto out = attemptOf(answer, true);
+        CHECK(out.report.end == AttemptEnd::Failed);
+        REQUIRE(out.report.error);
+        CHECK(out.report.error->outcome == Outcome::Unknown);
+    }
 }
 
 TEST_CASE("a silent upstream ends in a timeout, and at once if the caller has gone")
