Gateway: logs name a request by what its repeats have in common

Cause: the logs could not tell whether two sends were about the same request, since each attempt of a caller has an id of its own. Names of parts can no longer look like other names.

--- a/cmake/kumquathaven.cmake
+++ b/cmake/kumquathaven.cmake
@@ -1,6 +1,7 @@
 # Functions that declare the project's libraries, programs and tests in one way.
 
 find_package(Boost 1.81 REQUIRED)
+find_package(OpenSSL REQUIRED)
 find_package(Threads REQUIRED)
 
 find_program(CCACHE ccache)
--- a/include/kumquathaven/quarantine/evidence.h
+++ b/include/kumquathaven/quarantine/evidence.h
@@ -13,6 +13,7 @@
 #define KUMQUATHAVEN_QUARANTINE_EVIDENCE_H
 
 #include "kumquathaven/base/time.h"
+#include "kumquathaven/quarantine/subject.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -130,9 +131,6 @@
     Refused,
 };
 
-/// Returns the name under which a part is recorded: its id, or a hash of an id that is too long.
-std::string partName(std::string_view id);
-
 /// Records that a server began to answer a request with the parts. Returns the parts that are
 /// suspected or convicted, of which the other instances must be told.
 std::vector<std::string> recordAnswer(Evidence &evidence, const std::vector<std::string> &parts,
--- a/lib/gateway/exchange.cpp
+++ b/lib/gateway/exchange.cpp
@@ -103,6 +103,17 @@
     // The last part of a prompt belongs to this request alone.
     for (std::size_t n = 0; n + 1 < m_callerHead.prompt.size(); ++n)
         m_sharedParts.push_back(quarantine::partName(m_callerHead.prompt[n].id));
+    quarantine::RequestIdentity identity;
+    const std::string host = runtime::headerValue(m_head.fields, "Host");
+    identity.host = host;
+    identity.method = m_head.method;
+    identity.target = m_head.target;
+    identity.body = m_body;
+    if (m_customer != nullptr)
+        identity.customer = m_customer->name;
+    for (const deployment::PromptPart &it : m_callerHead.prompt)
+        identity.promptParts.push_back(it.id);
+    m_requestName = quarantine::requestName(identity);
     if (m_sharedParts.empty())
         return {};
     return m_gateway.quarantine.admit(m_sharedParts, m_arrivedAt);
@@ -263,6 +274,7 @@
          {"address", settings::toString(m_pick->address)},
          {"choice", m_pick->reason},
          {"parts", parts},
+         {"request", m_requestName},
          {"listAgeMs", millisecondsText(now - m_gateway.servers.listReadAt)},
          {"configuration", std::to_string(m_plan->plan.version)},
          {"timeLeftMs", millisecondsText(timeLeft(now))}});
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -112,6 +112,8 @@
     deployment::CallerHead m_callerHead;
     /// Names of the parts of the prompt that other requests may share.
     std::vector<std::string> m_sharedParts;
+    /// The same for each repeat of the request.
+    std::string m_requestName;
     TimePoint m_deadline{};
     /// Number of tokens that the request counts as against the rate of its customer.
     std::uint64_t m_tokens = 0;
--- a/lib/quarantine/evidence.cpp
+++ b/lib/quarantine/evidence.cpp
@@ -1,8 +1,5 @@
 #include "kumquathaven/quarantine/evidence.h"
 
-#include "kumquathaven/base/hash.h"
-#include "kumquathaven/base/hex.h"
-
 #include <algorithm>
 #include <iterator>
 #include <set>
@@ -12,8 +9,6 @@
 
 namespace {
 
-constexpr std::size_t maxNameLength = 32;
-
 std::optional<TimePoint> answeredAt(const AnsweredParts &parts, const std::string &part)
 {
     for (const auto *it : {&parts.newer, &parts.older}) {
@@ -217,13 +212,6 @@
 
 } // namespace
 
-std::string partName(std::string_view id)
-{
-    if (id.size() <= maxNameLength)
-        return std::string(id);
-    return "hash:" + toHex(stableHash(id));
-}
-
 std::vector<std::string> recordAnswer(Evidence &evidence, const std::vector<std::string> &parts,
                                       TimePoint now)
 {
--- a/unittests/quarantine/evidencetest.cpp
+++ b/unittests/quarantine/evidencetest.cpp
@@ -250,3 +250,39 @@
     CHECK(partName(std::string(10'000, 'a')).size() < 40);
     CHECK(partName(std::string(10'000, 'a')) != partName(std::string(10'000, 'b')));
 }
+
+// Guards against repeats of a request that are not known as such, and against a sound request that
+// is taken for another one.
+TEST_CASE("a request has one name, which each part of its identity changes")
+{
+    const RequestIdentity base{"host", "POST", "/path?a=1", "till", "body", {"aa", "bb"}};
+    CHECK(requestName(base) == requestName(base));
+    CHECK(kindOf(requestName(base)) == SubjectKind::Request);
+    CHECK(requestName(base).size() <= 64);
+    std::vector<RequestIdentity> others(7, base);
+    others[0].host = "host2";
+    others[1].method = "PUT";
+    others[2].target = "/path?a=2";
+    others[3].customer = "shop";
+    others[4].body = "body2";
+    others[5].customer = "tillb";
+    others[5].body = "ody";
+    others[6].body = "";
+    for (const RequestIdentity &it : others)
+        CHECK(requestName(it) != requestName(base));
+    RequestIdentity sameBody = base;
+    sameBody.promptParts = {"aa", "cc"};
+    CHECK(requestName(sameBody) == requestName(base));
+    RequestIdentity noBody = others[6];
+    noBody.promptParts = {"aa", "cc"};
+    CHECK(requestName(noBody) != requestName(others[6]));
+}
+
+TEST_CASE("no part has the name of a request")
+{
+    const std::string request = requestName({});
+    CHECK(partName(request) != request);
+    CHECK(kindOf(partName(request)) == SubjectKind::Part);
+    CHECK(kindOf("5c1e07a2") == SubjectKind::Part);
+    CHECK(kindOf("block:12") == SubjectKind::Part);
+}
