Soak: requests that crash servers, or have a part that does, and the check that they rest

Change: one more caller repeats a crashing request, or sends different ones with a crashing part; the server under it ends, with all that runs there, and is back as a new start. A check allows three crashes later than four seconds after the third (fifth for a part), except by entries that were disturbed and after all entries were killed, and no refusal of other requests. Draws of the faults are as before, since the caller has draws of its own.

--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -15,6 +15,8 @@
 # Answers that promise that a request has not run and never will.
 NOT_RUN = (408, 421, 429, 503)
 LIMIT_WINDOW, LIMIT_OVER = 8.0, 0.1
+# Crashes after which a part, or a request, must be known to crash servers, and how many more may follow the bound.
+ENOUGH_BY_PART, ENOUGH_BY_REQUEST, MAX_LATE = 5, 3, 3
 
 
 class Bounds:
@@ -286,6 +288,25 @@
     return [f"{it} got no request from {RECOVERY:.0f} s after the last fault on" for it in history.ready if it not in used]
 
 
+def crashing_requests_rest(history, _bounds):
+    """Requests that crash servers stop reaching servers, and no other request is refused for them."""
+    breaches = [f"{it['id']}: {it['kind']} of {it['entry']} was refused" for it in history.requests if it["status"] == 400]
+    entries = {it["id"]: name_of(it) for it in history.crashing}
+    enough = ENOUGH_BY_PART if history.crashing_by_part else ENOUGH_BY_REQUEST
+    # No entry that runs on has the verdict after all were killed.
+    begins = [0.0] + [it["at"] for it in history.faults if it["kind"] == "all killed"]
+    for begin, end in zip(begins, begins[1:] + [float("inf")]):
+        crashes = sorted((it["at"], it["id"]) for it in history.crashes if begin <= it["at"] < end)
+        if len(crashes) <= enough:
+            continue
+        known = crashes[enough - 1][0]
+        late = [(at, name) for at, name in crashes if at > known + STABLE
+                and not disturbed(history, {entries.get(name, "")}, known, at, planned=True)]
+        if len(late) > MAX_LATE:
+            breaches.append(f"{len(late)} crashes later than {STABLE:.0f} s after the one of {known:.1f} s, the last at {late[-1][0]:.1f} s")
+    return breaches
+
+
 def ran_throughout(history, _bounds):
     """No process ends by itself, and those that are to end do so in time."""
     return [f"{it['name']} {it['how']} at {it['at']:.1f} s" for it in history.exits]
@@ -294,7 +315,7 @@
 CHECKS = (whole_answers, answers_are_well_formed, run_once, not_run_is_true, own_requests, leaving_ends_work,
           leaving_stops_servers, time_left_is_told, limits_kept, repeats_in_budget,
           drained_servers_rest, configuration_kept, configuration_obeyed, stopping_cuts_nothing, answered_in_time, recovered,
-          all_servers_used, ran_throughout)
+          all_servers_used, crashing_requests_rest, ran_throughout)
 
 
 def check_all(history, bounds):
@@ -306,5 +327,6 @@
     """The history as text, for a report that can be looked at again."""
     def plain(value):
         return value.decode(errors="replace") if isinstance(value, bytes) else str(value)
-    return json.dumps({name: getattr(history, name) for name in ("faults", "changes", "reads", "lists", "exits", "requests", "arrivals")},
+    return json.dumps({name: getattr(history, name) for name in ("faults", "changes", "reads", "lists", "exits", "requests", "arrivals", "crashing",
+                                                             "crashes")},
                       default=plain)
--- a/test/soak/checkstest.py
+++ b/test/soak/checkstest.py
@@ -266,13 +266,42 @@
         self.history.ready = ["app-1", "lm-2"]
         self.assertEqual(self.found(), {"all_servers_used"})
 
+    def crash(self, at, entry="127.0.1.1"):
+        name = f"crash{at}"
+        self.history.add(self.history.crashing, id=name, entry=entry, at=at, status=0)
+        self.history.add(self.history.crashes, id=name, server="app-1", at=at)
+
+    def test_requests_that_crash_servers(self):
+        for at in (5.0, 6.0, 7.0, 8.0, 12.0, 13.0, 14.0):
+            self.crash(at)
+        self.assertEqual(self.found(), set())
+        self.crash(15.0)
+        self.assertEqual(self.found(), {"crashing_requests_rest"})
+        # A part takes two crashes more; all entries forget as all are killed.
+        self.history.crashing_by_part = True
+        self.assertEqual(self.found(), set())
+        self.history.crashing_by_part = False
+        self.fault("all killed", "everyone", 9, 10)
+        self.assertEqual(self.found(), set())
+
+    def test_an_entry_that_was_cut_off_sends_what_crashes_servers(self):
+        for at in (5.0, 6.0, 7.0, 12.0, 13.0, 14.0, 15.0):
+            self.crash(at)
+        self.assertEqual(self.found(), {"crashing_requests_rest"})
+        self.fault("cut", "entry-1", 11, 16)
+        self.assertEqual(self.found(), set())
+
+    def test_a_sound_request_that_is_refused_for_crashes(self):
+        self.served("x", "read", 31, status=400, body=b"")
+        self.assertIn("crashing_requests_rest", self.found())
+
     def test_processes(self):
         self.history.exits.append({"name": "control-1", "at": 5.0, "how": "ended by itself with 0"})
         self.assertEqual(self.found(), {"ran_throughout"})
 
     def test_every_check_is_tested(self):
         # A check that is added needs a case here.
-        self.assertEqual(len(checks.CHECKS), 18)
+        self.assertEqual(len(checks.CHECKS), 19)
 
 
 if __name__ == "__main__":
--- a/test/soak/proxy.py
+++ b/test/soak/proxy.py
@@ -106,10 +106,12 @@
                     if pair.address == target:
                         self.reset(pair)
 
-    def accept_again(self):
+    def accept_again(self, ports=None):
+        """Ends refuse() for these ports, or for all."""
         with self.lock:
-            refusing, self.refusing = self.refusing, []
-            for it in refusing:
+            ending = [it for it in self.refusing if ports is None or it[3] in ports]
+            self.refusing = [it for it in self.refusing if it not in ending]
+            for it in ending:
                 self.listen(*it)
 
     def add(self, rule):
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -19,7 +19,7 @@
 from faults import Operator, Player  # noqa: E402
 from report import plot, summary  # noqa: E402
 from soaksite import DRAIN_TIME, IN_FORCE_TIME, LIMIT_SLACK, LIMITS, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW, SoakSite  # noqa: E402
-from standins import Caller, History  # noqa: E402
+from standins import Caller, Crasher, History  # noqa: E402
 
 BOUNDS = Bounds(DRAIN_TIME, IN_FORCE_TIME, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW, LIMITS, LIMIT_SLACK)
 
@@ -79,6 +79,7 @@
         threads = [Caller(n, seed, history, site.callers_addresses, stop) for n in range(callers)]
         prober = Prober(0, seed, history, site.callers_addresses, stop)
         prober.key = "k-north"
+        threads.append(Crasher(seed, history, site.callers_addresses, stop))
         threads.append(threading.Thread(target=watch, args=(site, history, operator, prober, stop), daemon=True))
         for it in threads:
             it.start()
--- a/test/soak/soaksite.py
+++ b/test/soak/soaksite.py
@@ -6,6 +6,7 @@
 import random
 import signal
 import sys
+import threading
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "system"))
 from control_common import BIN  # noqa: E402
@@ -17,6 +18,8 @@
 DRAIN_TIME, STOP_GRACE, IN_FORCE_TIME = 3.0, 6.0, 2.5
 RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW = 0.2, 30, 10
 LIMIT_SLACK = 1000
+# Seconds for which a server is away after a crash.
+CRASH_TIME = 1.5
 # Rate and burst of each customer in tokens: one is held back by them, the other is not.
 LIMITS = {"north": (100000, 100000), "south": (600, 1200)}
 
@@ -75,6 +78,7 @@
         for it in servers:
             it.proxied = self.proxy.listen("server", ("127.0.0.1", it.port))
             it.entry = self.entry_of(it)
+            it.crash = self.crash
         super().__init__(0, 0, servers)
         self.list_port = self.proxy.listen("list", ("127.0.0.1", self.list.port))
         self.proxy.start()
@@ -145,6 +149,18 @@
             kept = min(size, lengths.get(file.stat().st_ino, 0))
             os.truncate(file, self.generator.randint(kept, size))
 
+    def crash(self, server):
+        """Ends a server as a crash does; it is back after a while as a new start."""
+        history = self.history
+        fault = history.add(history.faults, kind="server crashed", touches=["servers"], at=history.now(), ended=None, planned=False)
+        server.restart()
+        self.proxy.refuse({server.proxied})
+
+        def start():
+            self.proxy.accept_again({server.proxied})
+            fault["ended"] = history.now()
+        threading.Timer(CRASH_TIME, start).start()
+
     def shut_down(self):
         for it in self.processes.values():
             it.signal(signal.SIGCONT)
--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -21,6 +21,8 @@
 KEYS = {"k-north": "north", "k-south": "south"}
 KINDS = {"read": "GET", "write": "POST", "ask": "POST", "review": "POST"}
 IDEMPOTENT = ("read", "ask")
+# Begins the last element of the path of a request that crashes servers, and the part that does.
+CRASHING, CRASHING_PART = "crash", "dead"
 
 
 class History:
@@ -39,6 +41,10 @@
         self.exits = []
         # Servers that were ready at the end.
         self.ready = []
+        # Requests that crash servers, whether all have one part or are one, and where each crashed a server.
+        self.crashing = []
+        self.crashing_by_part = False
+        self.crashes = []
         self.logs = {}
 
     def now(self):
@@ -70,6 +76,8 @@
         self.history, self.generator = history, generator
         # One of "", "errors", "sheds", "hangs", "cuts", "loses", "slow".
         self.fault = ""
+        # Called with the server under a request that crashes it; set by the site.
+        self.crash = None
         self.starts = 0
         super().__init__(name, service, version)
         self.load_time = 0.3
@@ -85,6 +93,8 @@
         if it.path.startswith("/-/") or it.path == "/h":
             return super().handle(it)
         body = it.rfile.read(int(it.headers.get("Content-Length") or 0))
+        if it.path.split("/")[2].startswith(CRASHING):
+            return self.crash_under(it)
         history = self.history
         record = history.add(history.arrivals, id=it.headers.get("X-Request-Id"), path=it.path, server=self.name,
                              service=self.service, at=history.now(), ran=False, ended=None, end="", stamp="",
@@ -97,6 +107,15 @@
         record["ended"] = history.now()
         return None
 
+    def crash_under(self, it):
+        """Ends before the answer begins, and with it all requests that run here."""
+        if it.headers.get("X-Target-Instance", self.name) != self.name:
+            return self.reply(it, 421, b"", {"X-Instance-Id": self.name, "X-Weight-Versions": str(self.version)})
+        self.history.add(self.history.crashes, id=it.headers["X-Request-Id"], server=self.name, at=self.history.now())
+        it.close_connection = True
+        self.crash(self)
+        return None
+
     def answer(self, it, record):
         kind = it.path.split("/")[1]
         own = {"X-Instance-Id": self.name}
@@ -273,3 +292,35 @@
         if self.connection is not None:
             self.connection.close()
         self.connection = None
+
+
+class Crasher(Caller):
+    """Sends requests that crash each server which gets them: one again and again, or different ones with one part."""
+
+    def __init__(self, seed, history, entries, stop):
+        super().__init__(0, f"{seed}/crasher", history, entries, stop)
+        history.crashing_by_part = self.by_part = self.generator.random() < 0.3
+        self.kind = "ask" if self.by_part else self.generator.choice(("read", "write", "ask"))
+
+    def run(self):
+        self.stop_signal.wait(self.generator.uniform(1, 10))
+        while not self.stop_signal.wait(self.generator.uniform(0.2, 0.8)):
+            self.send_crashing()
+
+    def send_crashing(self):
+        self.drop()
+        name = os.urandom(8).hex()
+        record = self.history.add(self.history.crashing, id=name, entry=None, at=self.history.now(), status=0)
+        fields = self.fields(name)
+        if self.kind == "ask":
+            parts = f"aa:50,{CRASHING_PART}:10,{name}:40" if self.by_part else "aa:60,bb:40"
+            fields.update({"X-Model": "m", "X-Token-Usage": f"{PROMPT_TOKENS},{OUTPUT_TOKENS}", "X-Prompt-Prefix": parts})
+        path = f"/{self.kind}/{CRASHING}" + (name if self.by_part else "")
+        try:
+            self.connect()
+            record["entry"] = self.entry
+            self.connection.request(KINDS[self.kind], path, None if self.kind == "read" else b"crash", fields)
+            record["status"] = self.connection.getresponse().status
+        except (OSError, http.client.HTTPException):
+            # It was cut, as it is to be if its server crashed.
+            pass
