Quarantine: the policy of requests is named, and a case that is not complete costs no search

Cause: the numbers of the two kinds stood in one initializer without names, and each request with a suspected part searched for a common request although nothing was complete. Change: requestPolicy() names what differs from parts; caseAgainst() ends early.

--- a/include/kumquathaven/quarantine/evidence.h
+++ b/include/kumquathaven/quarantine/evidence.h
@@ -29,8 +29,8 @@
 
 namespace kumquathaven::quarantine {
 
-/// What differs between the kinds of subjects. Each kind has tables of its own size, so that
-/// subjects of one kind push out none of the other.
+/// What differs between the kinds of subjects; the defaults are those of parts. Each kind has
+/// tables of its own size, so that subjects of one kind push out none of the other.
 struct KindPolicy
 {
     /// Number of crashes at different moments that convict a subject no request with which was ever
@@ -38,8 +38,7 @@
     std::size_t minCrashes = 3;
     std::size_t minCrashesIfAnswered = 5;
     /// Number of crashes of a burst, which may be over before there were enough moments, that
-    /// convict a subject which was never answered. A request waits at one server at a time, so that
-    /// few crashes of a burst have a sound one in common.
+    /// convict a subject which was never answered.
     std::size_t minBurst = 5;
     /// Suspects of one crash.
     std::size_t maxSuspects = 64;
@@ -50,11 +49,21 @@
     bool remembersAllAnswers = true;
 };
 
+/// A request waits at one server at a time, so that few crashes have a sound one in common.
+inline KindPolicy requestPolicy()
+{
+    KindPolicy policy;
+    policy.minCrashesIfAnswered = 4;
+    policy.minBurst = 3;
+    policy.maxAnswered = 1'024;
+    policy.remembersAllAnswers = false;
+    return policy;
+}
+
 struct Policy
 {
     /// By SubjectKind.
-    std::array<KindPolicy, subjectKindNames.size()> kinds = {
-        {{3, 5, 5, 64, 8'192, 256, true}, {3, 4, 3, 64, 1'024, 256, false}}};
+    std::array<KindPolicy, subjectKindNames.size()> kinds = {KindPolicy(), requestPolicy()};
     /// Crashes within this time count as one moment, since a rack or a failure domain can be lost
     /// as a whole. It covers the time in which instances notice one crash.
     Duration momentLength = std::chrono::milliseconds(150);
--- a/lib/quarantine/evidence.cpp
+++ b/lib/quarantine/evidence.cpp
@@ -151,13 +151,15 @@
         if (isEnough && !found.completeAt)
             found.completeAt = crash.at;
     }
+    if (!found.completeAt)
+        return found;
     if (found.unexplained.empty() || haveCommonRequest(evidence, found)) {
         found.completeAt.reset();
-    } else if (found.completeAt) {
-        // Reports that explain a crash may still be on their way.
-        const TimePoint unexplainedAt = evidence.crashes[found.unexplained.front()].at;
-        found.completeAt = std::max(*found.completeAt, unexplainedAt);
+        return found;
     }
+    // Reports that explain a crash may still be on their way.
+    const TimePoint unexplainedAt = evidence.crashes[found.unexplained.front()].at;
+    found.completeAt = std::max(*found.completeAt, unexplainedAt);
     return found;
 }
 
