Soak: faults act on the present process of a name

Evidence: three starts with two identities in the member's log before the kill, and 'another process uses the data folder' after it. Change: faults look the process up when they act.

--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -90,18 +90,24 @@
         }
         return makers[self.generator.choice(list(makers))]()
 
+    def process(self, name):
+        """Returns the present process of a name: a member that lost its disk is replaced by another one, maybe since the draw."""
+        return self.site.processes[name]
+
+    def start_again(self, name):
+        if not self.process(name).alive():
+            self.process(name).start()
+
     def frozen(self, name, lasts):
-        it = self.site.processes[name]
-        return Fault("frozen", {name}, lambda: it.signal(signal.SIGSTOP), lambda: it.signal(signal.SIGCONT), lasts)
+        return Fault("frozen", {name}, lambda: self.process(name).signal(signal.SIGSTOP),
+                     lambda: self.process(name).signal(signal.SIGCONT), lasts)
 
     def killed(self, name, lasts):
-        it = self.site.processes[name]
-        return Fault("killed", {name}, it.kill, lambda: it.alive() or it.start(), lasts)
+        return Fault("killed", {name}, lambda: self.process(name).kill(), lambda: self.start_again(name), lasts)
 
     def killed_in_a_row(self, name):
-        it = self.site.processes[name]
-
         def begin():
+            it = self.process(name)
             for _ in range(3):
                 it.kill()
                 it.start()
@@ -109,8 +115,7 @@
         return Fault("killed in a row", {name}, begin)
 
     def power_lost(self, name, lasts):
-        it = self.site.processes[name]
-        return Fault("power lost", {name}, lambda: self.site.lose_power(name), lambda: it.alive() or it.start(), lasts)
+        return Fault("power lost", {name}, lambda: self.site.lose_power(name), lambda: self.start_again(name), lasts)
 
     def all_killed(self, names, lasts):
         def begin():
@@ -119,8 +124,7 @@
 
         def end():
             for it in names:
-                if not self.site.processes[it].alive():
-                    self.site.processes[it].start()
+                self.start_again(it)
         return Fault("all killed", {EVERYONE}, begin, end, lasts)
 
     def stopped(self, name, lasts):
@@ -154,8 +158,7 @@
         return Fault("disk lost", {name}, begin)
 
     def shimmed(self, kind, name, text, lasts):
-        it = self.site.processes[name]
-        return Fault(kind, {name}, lambda: it.set_faults(text), lambda: it.set_faults(""), lasts)
+        return Fault(kind, {name}, lambda: self.process(name).set_faults(text), lambda: self.process(name).set_faults(""), lasts)
 
     def ruled(self, kind, touches, rule, lasts):
         return Fault(kind, touches, lambda: self.site.proxy.add(rule), lambda: self.site.proxy.remove(rule), lasts)
@@ -202,8 +205,7 @@
 
         def end():
             for it in killed:
-                if not self.site.processes[it].alive():
-                    self.site.processes[it].start()
+                self.start_again(it)
         return Fault("killed in a rollout", set(killed) if len(killed) == 1 else {EVERYONE}, begin, end, lasts)
 
     def address_reused(self, server):
