Quarantine: a test shows that a request's crashes still support a case against its part

Change: the test of a request that explains nearly all crashes goes on with a crash under another request with the part; the patch names it. Result: it passes, and fails without the mechanism.

--- a/unittests/quarantine/evidencetest.cpp
+++ b/unittests/quarantine/evidencetest.cpp
@@ -300,6 +300,9 @@
     now = crash(evidence, 1, {"common", "document", "request:sound"}, now);
     CHECK(judge(evidence, now) == Parts{"request:bad"});
     CHECK(admit(evidence, {"common", "document", "request:sound"}, now) == Admission::Allowed);
+    // The crashes that the request explains still support a case against the part.
+    now = crash(evidence, 1, {"common", "document", "request:other"}, now);
+    CHECK(judge(evidence, now) == Parts{"document"});
 }
 
 // Guards against the verdict about a request that a crashing part hit repeatedly.
