--- a/include/kumquathaven/http/message.h
+++ b/include/kumquathaven/http/message.h
@@ -44,6 +44,7 @@
     {BodyFrame::Connection, "connection"},
 }};
 
+/// Returns what marks the end of the body of an answer with this head.
 BodyFrame bodyFrameOf(const Head &head);
 
 /// Returns the path of a request's target, without what follows a question mark.
--- a/include/kumquathaven/quarantine/subject.h
+++ b/include/kumquathaven/quarantine/subject.h
@@ -46,6 +46,7 @@
 /// Returns the name under which a request is recorded: a digest of its identity.
 std::string requestName(const RequestIdentity &request);
 
+/// Returns the kind of the subject that a name stands for.
 SubjectKind kindOf(std::string_view name);
 
 } // namespace kumquathaven::quarantine
