Releases: interfaces of roll-outs

Cause: POST /-/rollouts is not served. Change: types that the decision, the catalogue, the feed and the dialect share. Result: headers only; not built.

--- a/include/kumquathaven/catalogue/catalogue.h
+++ b/include/kumquathaven/catalogue/catalogue.h
@@ -140,6 +140,32 @@
     bool isLoading = false;
 };
 
+/// State of a rollout of a release.
+enum class RolloutState { Running, Complete, RolledBack };
+
+/// An operator's order to move the traffic of a service to servers with another release of its
+/// software, and how far it was carried out.
+struct ServiceRollout
+{
+    /// On a platform the name of the service; on the native interface the name of the route.
+    std::string service;
+    /// The release to which traffic moves, as servers name it.
+    std::string release;
+    /// Time limit, in milliseconds, and when the order was accepted, in milliseconds since 1970 on
+    /// the clock of the member that proposed it.
+    std::uint64_t limitMs = 0;
+    std::uint64_t orderedAtMs = 0;
+    /// The revision that accepted the order. It identifies the order and all counts about it.
+    std::uint64_t number = 0;
+    RolloutState state = RolloutState::Running;
+    /// Raised by each change of the share or the state.
+    std::uint32_t step = 0;
+    /// Share of the requests that the release may get, in thousandths.
+    std::uint32_t sharePerMille = 0;
+    /// Figures behind the last step.
+    std::string reason;
+};
+
 /// One revision of the complete catalogue.
 struct Catalogue
 {
@@ -158,6 +184,8 @@
     std::vector<std::string> controlLinks;
     /// Keyed by server and model, as "server/model". A server that was sent no order has no entry.
     std::map<std::string, ServerWeights> serverWeights;
+    /// The last rollout of each service, by name of the service.
+    std::map<std::string, ServiceRollout> rollouts;
 };
 
 /// Returns the maximum number of servers that may load weights at the same time: the minimum over
--- a/include/kumquathaven/catalogue/change.h
+++ b/include/kumquathaven/catalogue/change.h
@@ -110,9 +110,32 @@
     std::vector<std::string> links;
 };
 
+/// Orders a rollout. An order that equals the last one of the service in release and time limit is
+/// accepted again and changes nothing. Another one is refused with Conflict while one is running.
+struct StartRollout
+{
+    std::string service;
+    std::string release;
+    std::uint64_t limitMs = 0;
+    std::uint64_t orderedAtMs = 0;
+};
+
+/// Records a step of a rollout. It is refused unless \p number and \p fromStep are those of the
+/// catalogue and the rollout is running, so that a decision on old figures changes nothing.
+struct RecordRolloutStep
+{
+    std::string service;
+    std::uint64_t number = 0;
+    std::uint32_t fromStep = 0;
+    RolloutState state = RolloutState::Running;
+    std::uint32_t sharePerMille = 0;
+    std::string reason;
+};
+
 using ChangeBody = std::variant<PutEntries, RemoveEntry, GrantKey, WithdrawKey, DrainInstance,
                                 AnnounceInstance, DepartInstance, HintInstance, Declare,
-                                SetWeightsVersion, RecordServerWeights, RecordControlLinks>;
+                                SetWeightsVersion, RecordServerWeights, RecordControlLinks,
+                                StartRollout, RecordRolloutStep>;
 
 /// One change of the state, as it is proposed to the replicated log.
 struct Change
--- a/include/kumquathaven/deployment/dialect.h
+++ b/include/kumquathaven/deployment/dialect.h
@@ -5,6 +5,7 @@
 #define KUMQUATHAVEN_DEPLOYMENT_DIALECT_H
 
 #include "kumquathaven/base/result.h"
+#include "kumquathaven/catalogue/catalogue.h"
 #include "kumquathaven/deployment/plan.h"
 #include "kumquathaven/deployment/request.h"
 #include "kumquathaven/deployment/server.h"
@@ -35,7 +36,22 @@
     std::uint64_t version = 0;
 };
 
-using OperatorCall = std::variant<DeclareCall, ReadDeclarationCall, SetWeightsVersionCall>;
+/// An operator orders the rollout of a release of a service's software.
+struct StartRolloutCall
+{
+    std::string service;
+    std::string release;
+    Duration limit{0};
+};
+
+/// An operator reads the state of the last rollout of a service.
+struct ReadRolloutCall
+{
+    std::string service;
+};
+
+using OperatorCall = std::variant<DeclareCall, ReadDeclarationCall, SetWeightsVersionCall,
+                                  StartRolloutCall, ReadRolloutCall>;
 
 /// A caller looks up the entries that it should use.
 struct DirectoryCall
@@ -57,6 +73,7 @@
     runtime::HttpReply (*redirect)(const std::string &member, const runtime::HttpRequest &request);
     runtime::HttpReply (*refuse)(const Error &error);
     Result<DirectoryCall> (*readDirectoryCall)(const runtime::HttpRequest &request);
+    runtime::HttpReply (*replyWithRollout)(const catalogue::ServiceRollout &rollout);
     runtime::HttpReply (*replyWithEntries)(const std::vector<std::string> &addresses, Duration ttl);
 };
 
--- a/include/kumquathaven/deployment/server.h
+++ b/include/kumquathaven/deployment/server.h
@@ -23,6 +23,8 @@
     /// Milliseconds since 1970 on the platform's clock. Zero: not reported.
     std::uint64_t startedAt = 0;
     std::string service;
+    /// Release of its software; empty if the platform does not tell.
+    std::string release;
     settings::Address address;
     std::string failureDomain;
     std::uint32_t slots = 1;
--- a/include/kumquathaven/feed/messages.h
+++ b/include/kumquathaven/feed/messages.h
@@ -8,6 +8,7 @@
 #include "kumquathaven/base/time.h"
 #include "kumquathaven/catalogue/change.h"
 #include "kumquathaven/catalogue/state.h"
+#include "kumquathaven/release/release.h"
 #include "kumquathaven/wire/frame.h"
 
 #include <optional>
@@ -71,6 +72,15 @@
 struct Unsubscribe
 { };
 
+/// What all entries together counted about a rollout. Sent by the root of the entries' tree while
+/// the rollout runs; counts never decrease. A member that does not lead passes it on to the leader.
+struct RolloutReport
+{
+    std::string service;
+    std::uint64_t number = 0;
+    release::Evidence evidence;
+};
+
 // Messages from a control member, or from a relaying entry instance, to an entry instance.
 
 /// The complete control state at a position.
@@ -119,7 +129,7 @@
 };
 
 using Message = std::variant<Subscribe, ProofRequest, Announce, Leave, StateAt, ChangeAt, Proof,
-                             Unsubscribe, Redirect>;
+                             Unsubscribe, Redirect, RolloutReport>;
 
 /// Returns the frame that carries a message.
 wire::Frame toFrame(const Message &message);
--- a/include/kumquathaven/settings/settings.h
+++ b/include/kumquathaven/settings/settings.h
@@ -120,6 +120,11 @@
     /// Tokens that customers may get beyond rate and burst in a window, over all instances
     /// together.
     double limitSlackTokens = 0;
+    /// Rollouts: a bad release may get this share of its service's requests and this many more, and
+    /// none this long after its 50th bad answer.
+    double exposureShare = 0.1;
+    double exposureSlack = 50;
+    Duration rollbackTime = std::chrono::seconds(5);
     /// Part of a processor that the process may use. Zero: not told.
     double processorShare = 0;
     /// Memory that the process may use.
