Rollouts in the catalogue and reports about them on the feed

Cause: an order to move a service to another release had no place in the replicated state, and counts about it no message. Change: StartRollout and RecordRolloutStep are applied with compare-and-set, written and read with bounds; FeedClient::report() sends counts to control, or through the relay while no member is connected.

--- a/include/kumquathaven/catalogue/change.h
+++ b/include/kumquathaven/catalogue/change.h
@@ -110,6 +110,11 @@
     std::vector<std::string> links;
 };
 
+/// Maximum length of the name of a service or a release in a rollout, in bytes.
+constexpr std::size_t maxReleaseBytes = 256;
+/// Maximum time limit of a rollout: 7 days.
+constexpr std::uint64_t maxRolloutLimitMs = 7ULL * 24 * 3600 * 1000;
+
 /// Orders a rollout. An order that equals the last one of the service in release and time limit is
 /// accepted again and changes nothing. Another one is refused with Conflict while one is running.
 struct StartRollout
@@ -132,10 +137,10 @@
     std::string reason;
 };
 
-using ChangeBody = std::variant<PutEntries, RemoveEntry, GrantKey, WithdrawKey, DrainInstance,
-                                AnnounceInstance, DepartInstance, HintInstance, Declare,
-                                SetWeightsVersion, RecordServerWeights, RecordControlLinks,
-                                StartRollout, RecordRolloutStep>;
+using ChangeBody =
+    std::variant<PutEntries, RemoveEntry, GrantKey, WithdrawKey, DrainInstance, AnnounceInstance,
+                 DepartInstance, HintInstance, Declare, SetWeightsVersion, RecordServerWeights,
+                 RecordControlLinks, StartRollout, RecordRolloutStep>;
 
 /// One change of the state, as it is proposed to the replicated log.
 struct Change
--- a/include/kumquathaven/catalogue/names.h
+++ b/include/kumquathaven/catalogue/names.h
@@ -37,6 +37,12 @@
     {UpstreamState::Leaving, "leaving"},
 }};
 
+constexpr std::array<EnumName<RolloutState>, 3> rolloutStateNames{{
+    {RolloutState::Running, "running"},
+    {RolloutState::Complete, "complete"},
+    {RolloutState::RolledBack, "rolledBack"},
+}};
+
 constexpr std::array<EnumName<InstanceState>, 3> instanceStateNames{{
     {InstanceState::Starting, "starting"},
     {InstanceState::Serving, "serving"},
--- a/include/kumquathaven/feed/client.h
+++ b/include/kumquathaven/feed/client.h
@@ -5,6 +5,7 @@
 #define KUMQUATHAVEN_FEED_CLIENT_H
 
 #include "kumquathaven/catalogue/view.h"
+#include "kumquathaven/feed/messages.h"
 #include "kumquathaven/settings/settings.h"
 #include "kumquathaven/wire/hub.h"
 
@@ -74,6 +75,12 @@
     /// applies a command only once. Fails with Unavailable while no member is connected.
     Result<void> sendToLedger(std::uint64_t number, const std::string &command);
 
+    /// Sends counts about a rollout to control, directly or through the relay while no member is
+    /// connected. A report may be lost; the next one replaces it. Fails with TooLarge if it has
+    /// more than maxReportedRoutes routes, with Unavailable while nothing is connected, and with
+    /// Overloaded if too many events wait. Any thread may call it.
+    Result<void> report(const RolloutReport &report);
+
     /// Returns a copy of the current status. Any thread may call it.
     ClientStatus status() const;
 
--- a/include/kumquathaven/feed/follower.h
+++ b/include/kumquathaven/feed/follower.h
@@ -63,6 +63,10 @@
     /// Handles a message from control or from a relay.
     FollowerEffects receive(Uplink uplink, const Message &message, TimePoint now);
 
+    /// Passes a report about a rollout, which is this instance's or a child's, on towards control:
+    /// directly if the link to control is open, else to the relay. Without either it is lost.
+    FollowerEffects report(const Message &report, TimePoint now);
+
     /// Handles a message from an entry that this instance feeds, or that subscribes to it.
     FollowerEffects childMessage(SubscriberId child, const Message &message, TimePoint now);
     /// Handles the closing of the link to a child.
--- a/include/kumquathaven/feed/messages.h
+++ b/include/kumquathaven/feed/messages.h
@@ -72,6 +72,9 @@
 struct Unsubscribe
 { };
 
+/// Maximum number of routes in one report about a rollout.
+constexpr std::size_t maxReportedRoutes = 10'000;
+
 /// What all entries together counted about a rollout. Sent by the root of the entries' tree while
 /// the rollout runs; counts never decrease. A member that does not lead passes it on to the leader.
 struct RolloutReport
--- a/lib/catalogue/changejson.cpp
+++ b/lib/catalogue/changejson.cpp
@@ -2,6 +2,7 @@
 
 #include "entries.h"
 #include "fields.h"
+#include "rollouts.h"
 
 #include "kumquathaven/catalogue/json.h"
 #include "kumquathaven/wire/cbor.h"
@@ -28,9 +29,11 @@
     SetWeightsVersion,
     RecordServerWeights,
     RecordControlLinks,
+    StartRollout,
+    RecordRolloutStep,
 };
 
-constexpr std::array<EnumName<ChangeKind>, 12> changeKindNames{{
+constexpr std::array<EnumName<ChangeKind>, 14> changeKindNames{{
     {ChangeKind::Put, "put"},
     {ChangeKind::Remove, "remove"},
     {ChangeKind::GrantKey, "grantKey"},
@@ -43,6 +46,8 @@
     {ChangeKind::SetWeightsVersion, "nameWeights"},
     {ChangeKind::RecordServerWeights, "noteServerWeights"},
     {ChangeKind::RecordControlLinks, "noteControlLinks"},
+    {ChangeKind::StartRollout, "startRollout"},
+    {ChangeKind::RecordRolloutStep, "recordRolloutStep"},
 }};
 
 /// Writes the fields of a change's body into a JSON object.
@@ -101,6 +106,8 @@
         value["gone"] = body.departedServers;
     }
     void operator()(const RecordControlLinks &body) const { value["links"] = body.links; }
+    void operator()(const StartRollout &body) const { writeOrder(body, value); }
+    void operator()(const RecordRolloutStep &body) const { writeStep(body, value); }
 };
 
 Result<ChangeBody> readPut(Fields &fields)
@@ -238,6 +245,10 @@
         return readRecordServerWeights(fields);
     case ChangeKind::RecordControlLinks:
         return readRecordControlLinks(fields);
+    case ChangeKind::StartRollout:
+        return ChangeBody(readOrder(fields));
+    case ChangeKind::RecordRolloutStep:
+        return ChangeBody(readStep(fields));
     }
     return fail(
         {ErrorCode::Internal, "catalogue.read", {}, "unknown kind of change", Outcome::NotRun, {}});
--- a/lib/catalogue/fields.cpp
+++ b/lib/catalogue/fields.cpp
@@ -111,6 +111,11 @@
             reject(it.key(), "is unknown; allowed fields are " + known);
         }
     }
+    return finishKnown();
+}
+
+Result<void> Fields::finishKnown() const
+{
     if (!m_error.empty())
         return fail(
             {ErrorCode::InvalidRequest, "catalogue.read", {}, m_error, Outcome::NotRun, {}});
--- a/lib/catalogue/fields.h
+++ b/lib/catalogue/fields.h
@@ -87,6 +87,10 @@
     /// Fails with the first recorded error, or if the object has a field that was never read.
     Result<void> finish();
 
+    /// Fails with the first recorded error. Fields that were never read are skipped, since a later
+    /// version may have added them.
+    Result<void> finishKnown() const;
+
 private:
     const nlohmann::json &m_value;
     std::string m_subject;
--- a/lib/catalogue/json.cpp
+++ b/lib/catalogue/json.cpp
@@ -4,6 +4,7 @@
 
 #include "entries.h"
 #include "fields.h"
+#include "rollouts.h"
 
 #include "kumquathaven/catalogue/names.h"
 #include "kumquathaven/settings/settings.h"
@@ -92,6 +93,9 @@
         value["controlLinks"] = catalogue.controlLinks;
     if (!catalogue.serverWeights.empty())
         value["serverWeights"] = toJson(serversOf(catalogue));
+    // Versions without rollouts read the catalogue until the first one is ordered.
+    if (!catalogue.rollouts.empty())
+        value["rollouts"] = toJson(catalogue.rollouts);
     return value;
 }
 
@@ -116,6 +120,9 @@
         for (const ServerWeights &server : servers)
             catalogue.serverWeights[server.server + "/" + server.model] = server;
     }
+    if (const nlohmann::json *it = fields.find("rollouts", Presence::Optional)) {
+        BOOST_LEAF_ASSIGN(catalogue.rollouts, rolloutsFromJson(*it));
+    }
     BOOST_LEAF_CHECK(fields.finish());
     return catalogue;
 }
--- a/lib/catalogue/state.cpp
+++ b/lib/catalogue/state.cpp
@@ -1,5 +1,7 @@
 #include "kumquathaven/catalogue/state.h"
 
+#include "rollouts.h"
+
 #include "kumquathaven/base/hash.h"
 #include "kumquathaven/catalogue/json.h"
 
@@ -196,6 +198,16 @@
         return {};
     }
 
+    Result<void> operator()(const StartRollout &body)
+    {
+        return startRollout(m_state.catalogue, body);
+    }
+
+    Result<void> operator()(const RecordRolloutStep &body)
+    {
+        return recordRolloutStep(m_state.catalogue, body);
+    }
+
 private:
     /// Records a departure. The process may still act until its end is proven.
     void recordDeparture(const Instance &instance)
--- a/lib/feed/client.cpp
+++ b/lib/feed/client.cpp
@@ -30,7 +30,7 @@
 /// An event that the hub's thread passes to the client's thread.
 struct Event
 {
-    enum class Kind { Opened, Closed, Received };
+    enum class Kind { Opened, Closed, Received, Report };
     Kind kind = Kind::Received;
     wire::LinkId link = 0;
     std::string peer;
@@ -100,6 +100,7 @@
     void announce(const catalogue::Instance &self);
     void onLedgerAnswer(std::function<void(std::uint64_t, const std::string &)> handler);
     Result<void> sendToLedger(std::uint64_t number, const std::string &command);
+    Result<void> report(const RolloutReport &report);
     ClientStatus status() const;
 
 private:
@@ -201,6 +202,21 @@
     return m_hub.send(m_control, toFrame(CommandFrame{number, command}));
 }
 
+Result<void> FeedClient::Impl::report(const RolloutReport &report)
+{
+    const auto refused = [&](ErrorCode code, const std::string &message) {
+        return fail({code, "feed.report", report.service, message, Outcome::NotRun, {}});
+    };
+    if (report.evidence.routes.size() > maxReportedRoutes)
+        return refused(ErrorCode::TooLarge,
+                       "a report has at most " + std::to_string(maxReportedRoutes) + " routes");
+    if (const ClientStatus present = status(); present.member.empty() && present.relay.empty())
+        return refused(ErrorCode::Unavailable, "neither control nor a relay is connected");
+    if (!m_ring.tryPush(Event{Event::Kind::Report, 0, {}, false, toFrame(report)}))
+        return refused(ErrorCode::Overloaded, "the queue of the feed is full");
+    return {};
+}
+
 void FeedClient::Impl::handleAnswer(const wire::Peer &peer, const wire::Frame &frame)
 {
     if (!m_ledgerAnswerHandler)
@@ -261,6 +277,11 @@
 
 void FeedClient::Impl::handle(const Event &event, TimePoint now)
 {
+    if (event.kind == Event::Kind::Report) {
+        if (const std::optional<Message> report = read(event))
+            applyEffects(m_follower.report(*report, now));
+        return;
+    }
     // Links of other duties share the hub, and frames of a former source may still be queued.
     if (event.link == m_control)
         handleUplink(Uplink::Control, event, now);
@@ -436,6 +457,11 @@
     return m_impl->sendToLedger(number, command);
 }
 
+Result<void> FeedClient::report(const RolloutReport &report)
+{
+    return m_impl->report(report);
+}
+
 ClientStatus FeedClient::status() const
 {
     return m_impl->status();
--- a/lib/feed/follower.cpp
+++ b/lib/feed/follower.cpp
@@ -87,8 +87,23 @@
     return effects;
 }
 
+FollowerEffects Follower::report(const Message &report, TimePoint now)
+{
+    FollowerEffects effects;
+    if (m_isControlOpen) {
+        // A member that is suspended would swallow reports until the next of its rare checks.
+        recordControlUse(now);
+        effects.messages.push_back({Uplink::Control, report});
+    } else if (!m_relay.empty()) {
+        effects.messages.push_back({Uplink::Relay, report});
+    }
+    return effects;
+}
+
 FollowerEffects Follower::childMessage(SubscriberId child, const Message &message, TimePoint now)
 {
+    if (std::holds_alternative<RolloutReport>(message))
+        return report(message, now);
     FollowerEffects effects;
     // The relay that supplied the first state may come after this instance in the order of relays.
     // Accepting a child then could close a cycle.
--- a/lib/feed/messages.cpp
+++ b/lib/feed/messages.cpp
@@ -22,10 +22,11 @@
     ChangeAt,
     Proof,
     Unsubscribe,
-    Redirect
+    Redirect,
+    RolloutReport
 };
 
-constexpr std::array<EnumName<Kind>, 9> kindNames{{
+constexpr std::array<EnumName<Kind>, 10> kindNames{{
     {Kind::Subscribe, "subscribe"},
     {Kind::ProofRequest, "ask"},
     {Kind::Announce, "announce"},
@@ -35,6 +36,7 @@
     {Kind::Proof, "proof"},
     {Kind::Unsubscribe, "unsubscribe"},
     {Kind::Redirect, "redirect"},
+    {Kind::RolloutReport, "rollout"},
 }};
 
 constexpr Duration maxAge = std::chrono::minutes(10);
@@ -43,6 +45,20 @@
 constexpr std::size_t maxHeartbeats = 4096;
 /// Maximum number of relays in one redirect.
 constexpr std::size_t maxRelays = 16;
+/// Names of services and routes on a platform are longer than names of instances.
+constexpr std::size_t maxServiceBytes = 256;
+/// Maximum number of instances in a report.
+constexpr std::uint64_t maxInstances = 10'000;
+/// Maximum of one count in a report, so that sums of counts stay in range.
+constexpr std::uint64_t maxCount = std::uint64_t{1} << 50U;
+
+json toJson(const release::Counts &counts)
+{
+    json value = json::array({counts.sent, counts.failed});
+    for (const std::int64_t it : counts.delays)
+        value.push_back(it);
+    return value;
+}
 
 /// Encodes the body of a message. Each body is an array, which is compact: a proof is sent twice a
 /// second to every entry instance.
@@ -85,6 +101,14 @@
             relays.push_back(json::array({each.name, each.link}));
         return json::array({std::move(relays)});
     }
+    json operator()(const RolloutReport &it) const
+    {
+        json routes = json::array();
+        for (const auto &[name, counts] : it.evidence.routes)
+            routes.push_back(json::array({name, toJson(counts.present), toJson(counts.next)}));
+        return json::array({it.service, it.number, std::move(routes), it.evidence.runningAtPresent,
+                            it.evidence.instances, it.evidence.instancesServing});
+    }
 };
 
 /// Reads the elements of a body in order, and records whether all of them had the expected type.
@@ -103,11 +127,11 @@
         return m_isValid ? it->get<std::uint64_t>() : 0;
     }
 
-    std::string name()
+    std::string name(std::size_t maxBytes = maxNameBytes)
     {
         const json *it = next();
         m_isValid = m_isValid && it && it->is_string()
-            && it->get_ref<const std::string &>().size() <= maxNameBytes;
+            && it->get_ref<const std::string &>().size() <= maxBytes;
         return m_isValid ? it->get<std::string>() : std::string();
     }
 
@@ -169,6 +193,47 @@
         return relays;
     }
 
+    /// Reads a count, clamped to maxCount.
+    std::int64_t count() { return static_cast<std::int64_t>(std::min(maxCount, number())); }
+
+    release::Counts counts()
+    {
+        release::Counts counts;
+        const json *it = next();
+        m_isValid = m_isValid && it && it->is_array();
+        if (!m_isValid)
+            return counts;
+        Elements elements(*it);
+        counts.sent = elements.count();
+        counts.failed = elements.count();
+        for (std::int64_t &bucket : counts.delays)
+            bucket = elements.count();
+        m_isValid = m_isValid && elements.isComplete();
+        return counts;
+    }
+
+    std::map<std::string, release::RouteCounts> routes()
+    {
+        std::map<std::string, release::RouteCounts> routes;
+        const json *it = next();
+        m_isValid = m_isValid && it && it->is_array() && it->size() <= maxReportedRoutes;
+        if (!m_isValid)
+            return routes;
+        for (const json &each : *it) {
+            Elements elements(each);
+            const std::string name = elements.name(maxServiceBytes);
+            release::RouteCounts &route = routes[name];
+            route.present = elements.counts();
+            route.next = elements.counts();
+            m_isValid = m_isValid && elements.isComplete();
+        }
+        m_isValid = m_isValid && routes.size() == it->size();
+        return routes;
+    }
+
+    /// Skips the elements that a later version may add.
+    void skipRest() { m_index = std::max(m_index, m_body.size()); }
+
     const json &value()
     {
         static const json none;
@@ -246,6 +311,19 @@
         return Message(Unsubscribe{});
     case Kind::Redirect:
         return Message(Redirect{elements.relays()});
+    case Kind::RolloutReport: {
+        RolloutReport it;
+        it.service = elements.name(maxServiceBytes);
+        it.number = elements.number();
+        it.evidence.routes = elements.routes();
+        it.evidence.runningAtPresent = elements.count();
+        it.evidence.instances =
+            static_cast<std::uint32_t>(std::min<std::uint64_t>(elements.number(), maxInstances));
+        it.evidence.instancesServing =
+            static_cast<std::uint32_t>(std::min<std::uint64_t>(elements.number(), maxInstances));
+        elements.skipRest();
+        return Message(std::move(it));
+    }
     }
     return Message();
 }
--- a/unittests/catalogue/jsontest.cpp
+++ b/unittests/catalogue/jsontest.cpp
@@ -56,7 +56,7 @@
         {R"([])", "catalogue: must be an object"},
         {R"({"customer": []})",
          "catalogue: field \"customer\" is unknown; allowed fields are controlLinks, customers, "
-         "declaration, keys, revision, routes, serverWeights, upstreams, weights"},
+         "declaration, keys, revision, rollouts, routes, serverWeights, upstreams, weights"},
         {R"({"customers": {}})", "catalogue: field \"customers\" must be a list of at most 20000"},
         {R"({"customers": [{"name": "x"}]})", "customer \"x\": field \"owner\" is missing"},
         {R"({"customers": [{"owner": "t"}]})", "customer: field \"name\" is missing"},
--- a/unittests/feed/messagestest.cpp
+++ b/unittests/feed/messagestest.cpp
@@ -1,11 +1,107 @@
 #include "kumquathaven/feed/messages.h"
 #include "kumquathaven/base/random.h"
+#include "kumquathaven/wire/cbor.h"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <limits>
 
 using namespace kumquathaven;
 using namespace kumquathaven::feed;
 
+namespace {
+
+RolloutReport rolloutReport()
+{
+    RolloutReport report{"chat", 14, {}};
+    release::RouteCounts &route = report.evidence.routes["/v1/chat"];
+    route.present = {100, 1, {}};
+    route.present.delays[release::delayBucketCount - 1] = 99;
+    route.next = {3, 2, {{1}}};
+    report.evidence.routes["/v1/embed"].next.sent = 4;
+    report.evidence.runningAtPresent = 5;
+    report.evidence.instances = 6;
+    report.evidence.instancesServing = 7;
+    return report;
+}
+
+/// Returns the report in a body, or nothing if it is malformed.
+std::optional<RolloutReport> readReport(const nlohmann::json &body)
+{
+    return orElse(
+        [&]() -> Result<std::optional<RolloutReport>> {
+            BOOST_LEAF_AUTO(
+                read, fromFrame({wire::Channel::Feed, "rollout", wire::toCbor(body)}, "entry-1"));
+            return std::optional(std::get<RolloutReport>(read));
+        },
+        [](const Error &error) {
+            CHECK(error.code == ErrorCode::InvalidRequest);
+            CHECK(error.peer == "entry-1");
+            return std::optional<RolloutReport>();
+        });
+}
+
+} // namespace
+
+TEST_CASE("a report about a rollout is read within its bounds")
+{
+    using nlohmann::json;
+    const json good = orElse(
+        [] {
+            return wire::fromCbor(toFrame(rolloutReport()).body, "test", {});
+        },
+        [](const Error &) {
+            return json();
+        });
+    REQUIRE(readReport(good));
+    const auto with = [&](const json::json_pointer &at, const json &value) {
+        json body = good;
+        body[at] = value;
+        return body;
+    };
+    const auto at = [](const std::string &path) {
+        return json::json_pointer(path);
+    };
+    json tooManyRoutes = json::array();
+    for (std::size_t n = 0; n <= maxReportedRoutes; ++n)
+        tooManyRoutes.push_back(json::array({std::to_string(n), good[2][0][1], good[2][0][1]}));
+    json twice = json::array({good[2][0], good[2][0]});
+    json tooFewDelays = good[2][0][1];
+    tooFewDelays.erase(tooFewDelays.begin());
+    json tooManyDelays = good[2][0][1];
+    tooManyDelays.push_back(0);
+    const std::pair<const char *, json> malformed[] = {
+        {"no list", json::object()},
+        {"empty", json::array()},
+        {"service is a number", with(at("/0"), 1)},
+        {"service too long", with(at("/0"), std::string(257, 'a'))},
+        {"number is negative", with(at("/1"), -1)},
+        {"routes are an object", with(at("/2"), json::object())},
+        {"too many routes", with(at("/2"), tooManyRoutes)},
+        {"a route twice", with(at("/2"), twice)},
+        {"route name too long", with(at("/2/0/0"), std::string(257, 'a'))},
+        {"counts missing", with(at("/2/0"), json::array({"/v1/chat"}))},
+        {"too few delays", with(at("/2/0/1"), tooFewDelays)},
+        {"too many delays", with(at("/2/0/2"), tooManyDelays)},
+        {"a negative count", with(at("/2/0/1/0"), -5)},
+        {"a count with a fraction", with(at("/2/0/1/1"), 0.5)},
+        {"running is text", with(at("/3"), "5")},
+        {"instances missing", json::array({"chat", 14, json::array(), 5})},
+    };
+    for (const auto &it : malformed) {
+        CAPTURE(it.first);
+        CHECK_FALSE(readReport(it.second));
+    }
+    // Huge counts are clamped, so that sums over all instances stay in range.
+    const auto huge = readReport(with(at("/2/0/1/0"), std::numeric_limits<std::uint64_t>::max()));
+    REQUIRE(huge);
+    CHECK(huge->evidence.routes.at("/v1/chat").present.sent == std::int64_t{1} << 50);
+    json later = good;
+    later.push_back("a field of a later version");
+    CHECK(readReport(later));
+}
+
 TEST_CASE("every message is the same after encoding and decoding, and bytes are checked")
 {
     StateAt state;
@@ -31,6 +127,7 @@
         Proof{11, 12, Duration(13)},
         Unsubscribe{},
         Redirect{{{"e1", "10.0.0.1:7200"}, {"e2", "10.0.0.2:7200"}}},
+        rolloutReport(),
     };
     Random random(3);
     for (const Message &message : messages) {
--- a/unittests/feed/relaytest.cpp
+++ b/unittests/feed/relaytest.cpp
@@ -154,6 +154,35 @@
     CHECK_FALSE(relay.receive(3, Subscribe{5}, held, state, now).refuse);
 }
 
+TEST_CASE("a report about a rollout goes to control, and through the relay without a member")
+{
+    const TimePoint now{seconds(100)};
+    catalogue::Instance self;
+    self.name = "entry-2";
+    Follower follower(relays, self, 1);
+    const RolloutReport report{"chat", 7, {}};
+    const auto targets = [](const FollowerEffects &effects) {
+        std::vector<Uplink> found;
+        for (const FollowerEffects::OutgoingMessage &it : effects.messages) {
+            if (std::holds_alternative<RolloutReport>(it.message))
+                found.push_back(it.uplink);
+        }
+        return found;
+    };
+    CHECK(targets(follower.report(report, now)).empty());
+    follower.opened(Uplink::Control, "control-1", now);
+    CHECK(targets(follower.report(report, now)) == std::vector{Uplink::Control});
+    const FollowerEffects ofChild = follower.childMessage(5, report, now);
+    CHECK(targets(ofChild) == std::vector{Uplink::Control});
+    CHECK(ofChild.refused.empty());
+    follower.receive(Uplink::Control, Redirect{{{"entry-1", "10.0.0.1:7200"}}}, now);
+    follower.opened(Uplink::NextRelay, "entry-1", now);
+    CHECK(targets(follower.report(report, now)) == std::vector{Uplink::Control});
+    follower.closed(Uplink::Control, now);
+    CHECK(targets(follower.report(report, now)) == std::vector{Uplink::Relay});
+    CHECK(targets(follower.childMessage(5, report, now)) == std::vector{Uplink::Relay});
+}
+
 TEST_CASE("a relay that holds changes back is detected by control's answers")
 {
     TimePoint now(seconds(100));
