Releases: a first library that decides roll-outs

Change: lib/release implements the agreed interface. Small additions to the header, all of which work when left at zero: Counts::cut (of the failed, those cut off or refused by the connection), Evidence::groups (answers and errors of the new release by group of servers, place in the order of exposure modulo four) and Policy::requestsPerServer.

--- a/include/kumquathaven/release/release.h
+++ b/include/kumquathaven/release/release.h
@@ -35,6 +35,9 @@
     std::int64_t sent = 0;
     /// Errors of the server, and attempts without a complete answer that are the server's fault.
     std::int64_t failed = 0;
+    /// Of those that failed, attempts cut off or refused by the connection. The crash of one server
+    /// fails many at once, so they weigh less than errors that a server answered.
+    std::int64_t cut = 0;
     /// Good answers by their delay.
     std::array<std::int64_t, delayBucketCount> delays{};
 };
@@ -46,11 +49,27 @@
     Counts next;
 };
 
+/// Outcomes at some of the servers with the new release, over all routes.
+struct GroupCounts
+{
+    /// Good answers and errors.
+    std::int64_t answered = 0;
+    /// Errors that a server answered.
+    std::int64_t failed = 0;
+};
+
+/// A server belongs to the group of its place, modulo this, in the order in which servers are
+/// exposed.
+constexpr std::size_t serverGroupCount = 4;
+
 /// What all connected instances counted together.
 struct Evidence
 {
     /// By name of the route. Retries and hedges count as sent.
     std::map<std::string, RouteCounts> routes;
+    /// Distinguish one failing server from a bad release. All zero: not counted, then every error
+    /// is taken for one of the release.
+    std::array<GroupCounts, serverGroupCount> groups{};
     /// Requests that run at servers with other releases now.
     std::int64_t runningAtPresent = 0;
     /// Number of instances whose counts are included, and of those that are announced as serving.
@@ -76,6 +95,8 @@
     double exposureSlack = 50;
     /// Time after the 50th bad answer from which on a bad release gets no request.
     Duration rollbackTime = std::chrono::seconds(5);
+    /// Requests that one server may run at once: so many are cut by its crash.
+    std::int64_t requestsPerServer = 32;
 };
 
 /// Where a rollout stands, from the catalogue.
--- /dev/null
+++ b/lib/release/release.cpp
@@ -0,0 +1,221 @@
+#include "kumquathaven/release/release.h"
+
+#include "compare.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+
+namespace kumquathaven::release {
+
+namespace {
+
+/// Probability that any comparison convicts a good release over a whole rollout.
+constexpr double falseAlarms = 1e-3;
+/// Part of the bounds that is used before the release is proven good.
+constexpr double unprovenPart = 0.5;
+/// Share of the requests that goes to the new release while an instance uses up the slack.
+constexpr double slackShare = 0.25;
+constexpr std::array<std::uint32_t, 3> rampShares = {250, 500, 1000};
+constexpr Duration maxEvidenceAge = std::chrono::seconds(5);
+constexpr double minCapacity = 0.75;
+constexpr double enoughAnswers = 200;
+
+std::uint32_t unprovenShare(const Policy &policy)
+{
+    return static_cast<std::uint32_t>(policy.exposureShare * unprovenPart * 1000);
+}
+
+/// The last part of the time limit, in which the share is raised.
+Duration rampTime(Duration limit)
+{
+    return std::min(limit / 2, std::chrono::seconds(6) + limit / 10);
+}
+
+/// How long each share lasts at least once its answers are known.
+Duration dwellTime(Duration limit)
+{
+    return std::clamp<Duration>(rampTime(limit) / 8, std::chrono::milliseconds(300),
+                                std::chrono::seconds(30));
+}
+
+bool coversInstances(const Evidence &evidence)
+{
+    return evidence.instances > 0
+        && std::uint64_t{evidence.instances} * 20 >= std::uint64_t{evidence.instancesServing} * 19;
+}
+
+std::string secondsText(Duration duration)
+{
+    std::array<char, 32> buf{};
+    std::snprintf(buf.data(), buf.size(), "%.1f s", toSeconds(duration));
+    return buf.data();
+}
+
+/// Returns the share of a route's requests that the new release should have got by now.
+double expectedShare(const Progress &progress, Duration evidenceAge, const Policy &policy)
+{
+    const double elapsed = std::max(1e-3, toSeconds(progress.elapsed));
+    const double inStep = std::clamp(toSeconds(progress.inStep - evidenceAge), 0.0, elapsed);
+    const double unproven = unprovenPart * policy.exposureShare;
+    const double share = progress.sharePerMille / 1000.0;
+    return (unproven * (elapsed - inStep) + share * inStep) / elapsed;
+}
+
+/// Returns the route that lacks answers of the new release, or an empty string.
+std::string routeInDoubt(const Progress &progress, const Evidence &evidence, Duration evidenceAge,
+                         const Policy &policy)
+{
+    const double share = expectedShare(progress, evidenceAge, policy) / 2;
+    double allSent = 0;
+    double allAnswers = 0;
+    const auto lacks = [share](double sent, double answers) {
+        return sent >= 20 && answers < std::clamp(share * sent, 1.0, enoughAnswers);
+    };
+    for (const auto &[name, route] : evidence.routes) {
+        const auto sent = static_cast<double>(route.present.sent + route.next.sent);
+        const auto answers = static_cast<double>(completedOf(route.next));
+        allSent += sent;
+        allAnswers += answers;
+        if (lacks(sent, answers))
+            return name;
+    }
+    if (allSent > 0 && (allAnswers < 1 || lacks(allSent, allAnswers)))
+        return "all routes";
+    return {};
+}
+
+/// Returns the share that the servers with the new release can take.
+std::uint32_t capacityShare(const Supply &supply)
+{
+    if (supply.nextServers == 0 || supply.nextSlots == 0)
+        return 0;
+    const double part = static_cast<double>(supply.nextSlots)
+        / std::max(1.0, static_cast<double>(supply.presentSlots));
+    return part >= minCapacity ? 1000 : static_cast<std::uint32_t>(part * 1000);
+}
+
+std::uint32_t nextShare(const Progress &progress, Duration evidenceAge, const Policy &policy)
+{
+    if (progress.sharePerMille < unprovenShare(policy))
+        return unprovenShare(policy);
+    const Duration left = progress.limit - progress.elapsed;
+    const Duration perStep =
+        dwellTime(progress.limit) + evidenceAge + std::chrono::milliseconds(500);
+    for (const std::uint32_t share : rampShares) {
+        // The middle share is left out where time lacks for it.
+        if (share > progress.sharePerMille && (share != 500 || left >= 3 * perStep))
+            return share;
+    }
+    return 1000;
+}
+
+/// Returns why the share stays, or an empty string.
+std::string reasonToHold(const Progress &progress, const Evidence &evidence, Duration evidenceAge,
+                         const Policy &policy)
+{
+    if (!coversInstances(evidence) || evidenceAge > maxEvidenceAge)
+        return "counts of " + std::to_string(evidence.instances) + " of "
+            + std::to_string(evidence.instancesServing) + " instances, " + secondsText(evidenceAge)
+            + " old";
+    const Duration rampAt = progress.limit - rampTime(progress.limit);
+    if (progress.elapsed < rampAt)
+        return "small share until " + secondsText(rampAt);
+    if (progress.inStep - evidenceAge < dwellTime(progress.limit))
+        return "share is new";
+    const std::string route = routeInDoubt(progress, evidence, evidenceAge, policy);
+    return route.empty() ? "" : "few answers: " + route;
+}
+
+} // namespace
+
+std::size_t delayBucketOf(Duration delay)
+{
+    std::size_t bucket = 0;
+    for (Duration end = std::chrono::milliseconds(1); delay >= end; end *= 2) {
+        if (++bucket == delayBucketCount - 1)
+            break;
+    }
+    return bucket;
+}
+
+std::string faultOf(const Evidence &evidence, const Policy &policy)
+{
+    if (evidence.routes.empty())
+        return {};
+    const double bound = std::log(static_cast<double>(evidence.routes.size())
+                                  * (delayBucketCount + 1) / falseAlarms);
+    const double explained = explainedByGroup(evidence);
+    for (const auto &[name, route] : evidence.routes) {
+        if (const auto failures = failuresOf(route, explained, bound))
+            return name + ": " + *failures;
+        if (const auto delays = delaysOf(route, bound))
+            return name + ": " + *delays;
+    }
+    return cutsOf(evidence, policy).value_or("");
+}
+
+Decision decide(const Progress &progress, const Evidence &evidence, Duration evidenceAge,
+                const Supply &supply, const Policy &policy)
+{
+    if (std::string fault = faultOf(evidence, policy); !fault.empty())
+        return {Action::RollBack, 0, std::move(fault)};
+    std::string hold = reasonToHold(progress, evidence, evidenceAge, policy);
+    const bool isAll = progress.sharePerMille >= 1000;
+    if (isAll && hold.empty()) {
+        if (evidence.runningAtPresent == 0)
+            return {Action::Complete, 1000, "no fault, nothing runs at the present release"};
+        hold = std::to_string(evidence.runningAtPresent) + " requests run at the present release";
+    }
+    const std::uint32_t capacity = capacityShare(supply);
+    const std::uint32_t next = std::min(nextShare(progress, evidenceAge, policy), capacity);
+    if (!isAll && next <= progress.sharePerMille && (hold.empty() || capacity == 0))
+        hold = std::to_string(supply.nextServers) + " servers with the new release, share of "
+            + std::to_string(capacity) + " per mille at most";
+    // An unproven release is taken back before the limit, so that the record is made in time.
+    const Duration margin =
+        isAll ? Duration(0) : std::min<Duration>(progress.limit / 20, std::chrono::seconds(1));
+    if (progress.elapsed >= progress.limit - margin)
+        return {Action::RollBack, 0, "time limit: " + hold};
+    const bool isFirst = progress.sharePerMille == 0;
+    if (!isAll && next > progress.sharePerMille && (isFirst || hold.empty()))
+        return {Action::Advance, next, isFirst ? "first share" : "no fault"};
+    return {Action::Hold, progress.sharePerMille, std::move(hold)};
+}
+
+bool mayExpose(const Progress &progress, std::int64_t sentPresent, std::int64_t sentNext,
+               std::uint32_t instances, const Policy &policy, double draw)
+{
+    const double share = progress.sharePerMille / 1000.0;
+    if (progress.sharePerMille >= 1000)
+        return true;
+    if (progress.sharePerMille == 0 || progress.elapsed >= progress.limit)
+        return false;
+    if (progress.sharePerMille > unprovenShare(policy))
+        return draw < share;
+    // The bound holds for this instance's own counts, so it holds for the sum whatever the rates.
+    const double slack = unprovenPart * policy.exposureSlack / std::max(1U, instances);
+    const auto sent = static_cast<double>(sentPresent + sentNext);
+    const double credit = share * (sent + 1) + slack - static_cast<double>(sentNext);
+    if (credit <= 0)
+        return false;
+    if (credit >= 1)
+        return draw < std::max(share, slackShare);
+    return draw < (sent > 0 ? share : std::max(share, std::min(slackShare, slack)));
+}
+
+std::uint32_t exposedServers(std::uint32_t sharePerMille, const Supply &supply)
+{
+    if (sharePerMille == 0 || supply.nextServers == 0)
+        return 0;
+    // Late servers of the new release are still to come: the load of each is lower with them.
+    const double slotsPerServer =
+        std::max(1.0, static_cast<double>(supply.nextSlots)) / supply.nextServers;
+    const double servers = std::max<double>(
+        supply.nextServers, static_cast<double>(supply.presentSlots) / slotsPerServer);
+    const double exposed = std::ceil(servers * sharePerMille / 1000.0 - 0.25);
+    return std::clamp<std::uint32_t>(static_cast<std::uint32_t>(std::max(exposed, 1.0)), 1,
+                                     supply.nextServers);
+}
+
+} // namespace kumquathaven::release
--- /dev/null
+++ b/unittests/release/historiestest.cpp
@@ -0,0 +1,1 @@
+#include <doctest/doctest.h>
