Releases: hold while in doubt, and second opinions of other servers

Change: pooled comparison over all routes, doubt holds the share, avoidedGroup() names the group of servers that instances expose last so that others tell.

--- a/include/kumquathaven/release/release.h
+++ b/include/kumquathaven/release/release.h
@@ -152,6 +152,10 @@
 /// then shows it while few requests are exposed.
 std::uint32_t exposedServers(std::uint32_t sharePerMille, const Supply &supply);
 
+/// Returns the group of servers whose errors may be those of one failing server. Its servers are
+/// exposed last, so that others tell whether the release is bad. serverGroupCount if there is none.
+std::size_t avoidedGroup(const Evidence &evidence);
+
 } // namespace kumquathaven::release
 
 #endif // KUMQUATHAVEN_RELEASE_RELEASE_H
--- a/lib/release/compare.cpp
+++ b/lib/release/compare.cpp
@@ -9,19 +9,28 @@
 
 namespace {
 
-/// Differences that any two groups of servers may show.
+/// Differences that any two groups of servers may show. The new release gets more of the requests
+/// of a bad moment once its share is raised, so more is allowed then.
 constexpr double failureRatio = 1.5;
+constexpr double failureRatioRaised = 4;
 constexpr double failureMargin = 0.005;
 /// A share that is small in much traffic still is many bad answers.
 constexpr double failureMarginAnswers = 15;
-constexpr double delayMargin = 0.05;
+constexpr double delayMargin = 0.04;
+constexpr double delayTailMargin = 0.01;
+constexpr double delayMarginAnswers = 40;
 /// Share of the answers that may take up to twice as long.
 constexpr double delayDrift = 0.25;
+constexpr double delayDriftRaised = 1;
 constexpr double minBadAnswers = 4;
 constexpr double minSlowAnswers = 12;
 /// Errors from which on one group of servers is enough to convict the release.
-constexpr double oneGroupErrors = 25;
+constexpr double oneGroupErrors = 40;
 constexpr double otherGroupsAnswers = 20;
+constexpr double otherGroupsErrors = 2;
+constexpr std::int64_t suspectErrors = 3;
+/// A failing server has at least this many times the errors of the others.
+constexpr double groupRatio = 4;
 
 /// Excesses over the present release's share that are searched for.
 constexpr std::array<double, 6> alternatives = {0.003, 0.01, 0.03, 0.08, 0.2, 0.5};
@@ -62,17 +71,19 @@
     return largest + std::log(sum / static_cast<double>(terms.size()));
 }
 
-std::optional<std::string> failuresOf(const RouteCounts &route, double explained, double bound)
+std::optional<std::string> failuresOf(const RouteCounts &route, const Judgement &judgement)
 {
-    const auto errors = static_cast<double>(route.next.failed - route.next.cut) * (1 - explained);
+    const auto errors =
+        static_cast<double>(route.next.failed - route.next.cut) * (1 - judgement.explained);
     const auto answers = static_cast<double>(completedOf(route.next) - route.next.cut);
     const auto presentErrors = static_cast<double>(route.present.failed - route.present.cut);
     const auto presentAnswers = static_cast<double>(completedOf(route.present) - route.present.cut);
     if (errors < minBadAnswers)
         return std::nullopt;
-    const double allowed = failureRatio * upperShare(presentErrors, presentAnswers)
-        + std::min(failureMargin, failureMarginAnswers / answers);
-    if (allowed >= 1 || evidenceOver(errors, answers, allowed) < bound)
+    const double ratio = judgement.isRaised ? failureRatioRaised : failureRatio;
+    const double allowed = ratio * upperShare(presentErrors, presentAnswers)
+        + judgement.margin * std::min(failureMargin, failureMarginAnswers / answers);
+    if (allowed >= 1 || evidenceOver(errors, answers, allowed) < judgement.bound)
         return std::nullopt;
     std::array<char, 160> buf{};
     std::snprintf(buf.data(), buf.size(), "%.0f errors of %.0f answers, before %.0f of %.0f",
@@ -80,23 +91,28 @@
     return std::string(buf.data());
 }
 
-std::optional<std::string> delaysOf(const RouteCounts &route, double bound)
+std::optional<std::string> delaysOf(const RouteCounts &route, const Judgement &judgement)
 {
     const auto answers = static_cast<double>(goodOf(route.next));
     const auto presentAnswers = static_cast<double>(goodOf(route.present));
     if (answers < minSlowAnswers || presentAnswers < 1)
         return std::nullopt;
+    const double maxMargin = std::min(delayMargin, delayMarginAnswers / answers);
+    const double drift = judgement.isRaised ? delayDriftRaised : delayDrift;
     double slow = answers;
     double presentSlow = presentAnswers;
     for (std::size_t n = 1; n < delayBucketCount; ++n) {
         const auto presentBefore = static_cast<double>(route.present.delays[n - 1]);
+        // Little is allowed far beyond what the present release needs.
+        const double margin = judgement.margin
+            * std::min(maxMargin, delayTailMargin + presentSlow / presentAnswers / 2);
         slow -= static_cast<double>(route.next.delays[n - 1]);
         presentSlow -= presentBefore;
-        const double allowed = upperShare(presentSlow, presentAnswers) + delayMargin
-            + delayDrift * presentBefore / presentAnswers;
+        const double allowed = upperShare(presentSlow, presentAnswers) + margin
+            + drift * presentBefore / presentAnswers;
         if (slow < minSlowAnswers || allowed >= 1)
             continue;
-        if (evidenceOver(slow, answers, allowed) < bound)
+        if (evidenceOver(slow, answers, allowed) < judgement.bound)
             continue;
         std::array<char, 160> buf{};
         std::snprintf(buf.data(), buf.size(),
@@ -129,29 +145,47 @@
     return std::string(buf.data());
 }
 
-double explainedByGroup(const Evidence &evidence)
+std::size_t worstGroup(const Evidence &evidence)
+{
+    const auto errorShare = [](const GroupCounts &it) {
+        return static_cast<double>(it.failed)
+            / static_cast<double>(std::max<std::int64_t>(1, it.answered));
+    };
+    std::size_t worst = 0;
+    for (std::size_t n = 1; n < serverGroupCount; ++n) {
+        if (errorShare(evidence.groups[n]) > errorShare(evidence.groups[worst]))
+            worst = n;
+    }
+    return worst;
+}
+
+Explanation explainedByGroup(const Evidence &evidence)
 {
     double answered = 0;
     double failed = 0;
-    GroupCounts worst;
     for (const GroupCounts &it : evidence.groups) {
         answered += static_cast<double>(it.answered);
         failed += static_cast<double>(it.failed);
-        if (it.failed > worst.failed)
-            worst = it;
     }
+    if (failed < 1)
+        return {};
+    const GroupCounts &worst = evidence.groups[worstGroup(evidence)];
     const double otherAnswered = answered - static_cast<double>(worst.answered);
     const double otherFailed = failed - static_cast<double>(worst.failed);
-    if (failed < 1)
-        return 0;
+    const double otherShare = otherFailed / std::max(1.0, otherAnswered);
+    const double worstShare = static_cast<double>(worst.failed)
+        / static_cast<double>(std::max<std::int64_t>(1, worst.answered));
+    if (otherFailed >= otherGroupsErrors && otherShare * groupRatio > worstShare)
+        return {};
     if (otherAnswered < otherGroupsAnswers)
-        return failed < oneGroupErrors ? 1 : 0;
-    const double worstShare =
-        static_cast<double>(worst.failed) / std::max(1.0, static_cast<double>(worst.answered));
-    const double otherShare = otherFailed / otherAnswered;
-    if (otherShare * 4 > worstShare)
-        return 0;
-    return 1 - std::min(1.0, otherShare * answered / failed);
+        return {failed < oneGroupErrors ? 1.0 : 0.0, false};
+    return {1 - std::min(1.0, otherShare * answered / failed), true};
+}
+
+std::size_t avoidedGroup(const Evidence &evidence)
+{
+    const std::size_t worst = worstGroup(evidence);
+    return evidence.groups[worst].failed < suspectErrors ? serverGroupCount : worst;
 }
 
 } // namespace kumquathaven::release
--- a/lib/release/compare.h
+++ b/lib/release/compare.h
@@ -18,18 +18,40 @@
 /// exp(-x), however often it is asked while trials are added.
 double evidenceOver(double events, double trials, double probability);
 
-/// Returns what shows that the new release fails more often on a route, or nothing. \p explained
-/// is the share of its errors that failing servers explain. \p bound is that of the evidence.
-std::optional<std::string> failuresOf(const RouteCounts &route, double explained, double bound);
+/// How strictly a comparison judges.
+struct Judgement
+{
+    /// Evidence from which on a difference counts, as of evidenceOver().
+    double bound = 0;
+    /// Share of the errors that a failing server explains.
+    double explained = 0;
+    /// Part of the usual margins that is allowed.
+    double margin = 1;
+    /// Whether the new release has more requests than an unproven one gets.
+    bool isRaised = false;
+};
+
+/// Returns what shows that the new release fails more often on a route, or nothing.
+std::optional<std::string> failuresOf(const RouteCounts &route, const Judgement &judgement);
 
 /// Returns what shows that the new release answers more slowly on a route, or nothing.
-std::optional<std::string> delaysOf(const RouteCounts &route, double bound);
+std::optional<std::string> delaysOf(const RouteCounts &route, const Judgement &judgement);
 
 /// Returns what shows that servers with the new release crash more often, or nothing.
 std::optional<std::string> cutsOf(const Evidence &evidence, const Policy &policy);
 
-/// Returns the share of the new release's errors that one failing group of servers explains.
-double explainedByGroup(const Evidence &evidence);
+/// Returns the group of servers with the largest share of errors.
+std::size_t worstGroup(const Evidence &evidence);
+
+struct Explanation
+{
+    /// Share of the new release's errors that one failing group of servers explains.
+    double share = 0;
+    /// Whether other groups have shown enough to tell.
+    bool isCertain = true;
+};
+
+Explanation explainedByGroup(const Evidence &evidence);
 
 } // namespace kumquathaven::release
 
--- a/lib/release/release.cpp
+++ b/lib/release/release.cpp
@@ -12,6 +12,9 @@
 
 /// Probability that any comparison convicts a good release over a whole rollout.
 constexpr double falseAlarms = 1e-3;
+/// The share is not raised while a difference has this probability to be chance.
+constexpr double doubt = 0.3;
+constexpr double doubtMargin = 0.4;
 /// Part of the bounds that is used before the release is proven good.
 constexpr double unprovenPart = 0.5;
 /// Share of the requests that goes to the new release while an instance uses up the slack.
@@ -45,6 +48,41 @@
         && std::uint64_t{evidence.instances} * 20 >= std::uint64_t{evidence.instancesServing} * 19;
 }
 
+void add(Counts &to, const Counts &from)
+{
+    to.sent += from.sent;
+    to.failed += from.failed;
+    to.cut += from.cut;
+    for (std::size_t n = 0; n < delayBucketCount; ++n)
+        to.delays[n] += from.delays[n];
+}
+
+/// Returns what differs on a route or on all together, or an empty string.
+std::string differenceOf(const Evidence &evidence, const Policy &policy, Judgement judgement)
+{
+    RouteCounts all;
+    for (const auto &[name, route] : evidence.routes) {
+        add(all.present, route.present);
+        add(all.next, route.next);
+    }
+    const auto next = static_cast<double>(all.next.sent);
+    const auto sent = next + static_cast<double>(all.present.sent);
+    judgement.isRaised =
+        next > 1.5 * unprovenPart * policy.exposureShare * sent + policy.exposureSlack;
+    const auto judge = [&judgement](const std::string &name, const RouteCounts &route) {
+        if (const auto failures = failuresOf(route, judgement))
+            return name + ": " + *failures;
+        if (const auto delays = delaysOf(route, judgement))
+            return name + ": " + *delays;
+        return std::string();
+    };
+    for (const auto &[name, route] : evidence.routes) {
+        if (std::string difference = judge(name, route); !difference.empty())
+            return difference;
+    }
+    return judge("all routes", all);
+}
+
 std::string secondsText(Duration duration)
 {
     std::array<char, 32> buf{};
@@ -66,11 +104,14 @@
 std::string routeInDoubt(const Progress &progress, const Evidence &evidence, Duration evidenceAge,
                          const Policy &policy)
 {
-    const double share = expectedShare(progress, evidenceAge, policy) / 2;
+    const double share = expectedShare(progress, evidenceAge, policy);
     double allSent = 0;
     double allAnswers = 0;
     const auto lacks = [share](double sent, double answers) {
-        return sent >= 20 && answers < std::clamp(share * sent, 1.0, enoughAnswers);
+        // Few requests leave the number of those exposed to chance.
+        const double expected = share * sent;
+        const double wanted = std::min(expected / 2, expected - 2.5 * std::sqrt(expected));
+        return sent >= 20 && answers < std::clamp(wanted, 1.0, enoughAnswers);
     };
     for (const auto &[name, route] : evidence.routes) {
         const auto sent = static_cast<double>(route.present.sent + route.next.sent);
@@ -124,7 +165,13 @@
     if (progress.inStep - evidenceAge < dwellTime(progress.limit))
         return "share is new";
     const std::string route = routeInDoubt(progress, evidence, evidenceAge, policy);
-    return route.empty() ? "" : "few answers: " + route;
+    if (!route.empty())
+        return "few answers: " + route;
+    const Explanation explanation = explainedByGroup(evidence);
+    std::string difference = differenceOf(
+        evidence, policy,
+        {std::log(1 / doubt), explanation.isCertain ? explanation.share : 0, doubtMargin});
+    return difference.empty() ? "" : "in doubt: " + difference;
 }
 
 } // namespace
@@ -141,18 +188,9 @@
 
 std::string faultOf(const Evidence &evidence, const Policy &policy)
 {
-    if (evidence.routes.empty())
-        return {};
-    const double bound = std::log(static_cast<double>(evidence.routes.size())
-                                  * (delayBucketCount + 1) / falseAlarms);
-    const double explained = explainedByGroup(evidence);
-    for (const auto &[name, route] : evidence.routes) {
-        if (const auto failures = failuresOf(route, explained, bound))
-            return name + ": " + *failures;
-        if (const auto delays = delaysOf(route, bound))
-            return name + ": " + *delays;
-    }
-    return cutsOf(evidence, policy).value_or("");
+    const double bound = std::log(static_cast<double>(evidence.routes.size() + 1) / falseAlarms);
+    std::string fault = differenceOf(evidence, policy, {bound, explainedByGroup(evidence).share});
+    return fault.empty() ? cutsOf(evidence, policy).value_or("") : fault;
 }
 
 Decision decide(const Progress &progress, const Evidence &evidence, Duration evidenceAge,
