Gateway: requests go by release while an operator moves a service

Change: pure functions (lib/gateway/releases) choose the side of a rollout and count sends and their ends; the counts are levels of the overlay; each entry stops a release that these show to be bad, and the root reports them to control. Entries pass the releases of the listed servers on in a message of its own, which versions before skip. Choice of candidates and sums of servers are files of their own now.

--- a/lib/gateway/exchange.cpp
+++ b/lib/gateway/exchange.cpp
@@ -271,6 +271,7 @@
         {{"send", std::to_string(m_attempts)},
          {"server", m_pick->serverId},
          {"address", settings::toString(m_pick->address)},
+         {"release", m_pick->send.release},
          {"choice", m_pick->reason},
          {"parts", parts},
          {"request", m_subjects.back()},
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -62,6 +62,8 @@
 
     // exchangesend.cpp: attempts and retries.
     void send();
+    PickRequest pickRequest() const;
+    ReleaseSendEnd sendEnd(AttemptEnd end, TimePoint now) const;
     bool pickForFirstAttempt(const PickRequest &request, TimePoint now);
     CallRequest callRequest(const Pick &pick) const;
     CallEvents callEvents();
@@ -127,8 +129,11 @@
     bool m_hasFirstToken = false;
     /// Whether so much of the answer to this attempt arrived that the request crashes no server.
     bool m_hasAnswerBegun = false;
+    /// When the body of the answer to this attempt began.
+    TimePoint m_firstBodyAt{};
     /// Whether the server answered with an error of its own.
     bool m_isServerError = false;
+    bool m_isMalformed = false;
     /// What marks the end of the answer to this attempt.
     http::BodyFrame m_bodyFrame = http::BodyFrame::Length;
     /// Events of the answer to this attempt.
@@ -138,6 +143,7 @@
     std::optional<Duration> m_lastPause;
     std::uint32_t m_attempts = 0;
     std::set<std::string> m_triedServers;
+    bool m_failedAtNextRelease = false;
     /// Combined outcome of all attempts: whether the request may have run.
     Outcome m_outcome = Outcome::NotRun;
     boost::asio::steady_timer m_deadlineTimer;
--- a/lib/gateway/exchangeanswer.cpp
+++ b/lib/gateway/exchangeanswer.cpp
@@ -85,7 +85,8 @@
     endAttempt(end);
     const TimePoint now = monotonicNow();
     // The caller's next attempt may go to the servers that this one was sent to.
-    const PickRequest next{&m_plan->plan, m_route, &m_callerHead, m_customer, {}, m_deadline};
+    PickRequest next = pickRequest();
+    next.tried.clear();
     Duration retryAfter = serverFullRetryAfter;
     if (!canPick(m_gateway.servers, next, now))
         retryAfter = std::max(retryAfter,
@@ -102,6 +103,8 @@
 {
     if (!m_answerHead)
         return;
+    if (m_firstBodyAt == TimePoint{})
+        m_firstBodyAt = monotonicNow();
     const bool isEvents = isStream() && m_answerHead->status == statusOk;
     if (isEvents) {
         m_eventBoundary.feed(bytes);
@@ -248,6 +251,7 @@
 void Exchange::handleFailure(CallFailure failure)
 {
     const bool isNotConnected = failure == CallFailure::NotConnected;
+    m_isMalformed = failure == CallFailure::Malformed;
     if (!isNotConnected && m_outcome == Outcome::NotRun)
         m_outcome = Outcome::Unknown;
     // A failed connection is not an attempt: it counts neither against the maximum number of
--- a/lib/gateway/exchangesend.cpp
+++ b/lib/gateway/exchangesend.cpp
@@ -62,13 +62,7 @@
         deadlinePassed();
         return;
     }
-    PickRequest request;
-    request.plan = &m_plan->plan;
-    request.route = m_route;
-    request.head = &m_callerHead;
-    request.customer = m_customer;
-    request.tried = m_triedServers;
-    request.deadline = m_deadline;
+    const PickRequest request = pickRequest();
     if (m_attempts > 0)
         m_pick = pick(m_gateway.servers, request, now);
     else if (!pickForFirstAttempt(request, now))
@@ -83,7 +77,9 @@
     m_triedServers.insert(m_pick->start);
     m_sentAt = now;
     m_hasFirstToken = false;
+    m_firstBodyAt = {};
     m_isServerError = false;
+    m_isMalformed = false;
     m_eventBoundary = {};
     startWaiting();
     logAttempt();
@@ -93,6 +89,12 @@
     armMoveTimer();
 }
 
+PickRequest Exchange::pickRequest() const
+{
+    return {&m_plan->plan,  m_route,    &m_callerHead,        m_customer,
+            m_triedServers, m_deadline, m_failedAtNextRelease};
+}
+
 /// Chooses a server for the first attempt. Returns false if the request was refused instead.
 bool Exchange::pickForFirstAttempt(const PickRequest &request, TimePoint now)
 {
@@ -182,9 +184,7 @@
     const bool cannotResume = m_isHeadSent && m_eventFramer.lastId().empty();
     if (!isAllowed || cannotResume || timeLeft(now) < minTimeLeft)
         return false;
-    PickRequest request{&m_plan->plan, m_route,        &m_callerHead,
-                        m_customer,    m_triedServers, m_deadline};
-    if (!canPick(m_gateway.servers, request, now)
+    if (!canPick(m_gateway.servers, pickRequest(), now)
         || !spend(m_gateway.retryBudgets[m_pick->service], m_gateway.retryRules, now))
         return false;
     m_gateway.counters.retried.add();
@@ -215,9 +215,7 @@
 void Exchange::moveToOtherServer()
 {
     const TimePoint now = monotonicNow();
-    PickRequest request{&m_plan->plan, m_route,        &m_callerHead,
-                        m_customer,    m_triedServers, m_deadline};
-    if (!mayRetry() || !canPick(m_gateway.servers, request, now)
+    if (!mayRetry() || !canPick(m_gateway.servers, pickRequest(), now)
         || !spend(m_gateway.retryBudgets[m_pick->service], m_gateway.retryRules, now))
         return;
     m_gateway.counters.retried.add();
@@ -257,6 +255,20 @@
     }
 }
 
+/// Returns how the running attempt ends, for the comparison of releases.
+ReleaseSendEnd Exchange::sendEnd(AttemptEnd end, TimePoint now) const
+{
+    ReleaseSendEnd result;
+    result.end = end == AttemptEnd::Cut && m_isServerError ? AttemptEnd::ServerError : end;
+    result.isMalformed = m_isMalformed;
+    result.isDeadlinePassed = timeLeft(now) < minTimeLeft;
+    result.objective = m_route->objective;
+    const bool hasEvent = isStream() && m_firstBodyAt != TimePoint{};
+    result.delay = (hasEvent ? m_firstBodyAt : now) - m_sentAt;
+    result.hasAnswer = isStream() ? hasEvent : m_hasFirstToken && end == AttemptEnd::Answered;
+    return result;
+}
+
 /// Ends the running attempt, if there is one.
 void Exchange::endAttempt(AttemptEnd end)
 {
@@ -271,7 +283,10 @@
     }
     if (m_pick) {
         logAttemptEnd(end);
-        recordAttemptEnd(m_gateway.servers, *m_pick, end, monotonicNow());
+        const TimePoint now = monotonicNow();
+        recordAttemptEnd(m_gateway.servers, *m_pick, end, now);
+        if (countSendEnd(m_gateway.servers.releases, m_pick->send, sendEnd(end, now)))
+            m_failedAtNextRelease = true;
     }
     m_pick.reset();
     m_lastBytesAt = {};
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -71,6 +71,8 @@
 {
     const settings::Platform &platform = *s.platform;
     servers.weightsTime = platform.weightsTime;
+    servers.releases.policy = {platform.exposureShare, platform.exposureSlack,
+                               platform.rollbackTime};
     retryRules.ratio = platform.retryRatio;
     retryRules.slack = platform.retrySlack;
     retryRules.window = platform.retryWindow;
--- a/lib/gateway/gatewayrole.cpp
+++ b/lib/gateway/gatewayrole.cpp
@@ -5,6 +5,7 @@
 #include "gateway.h"
 #include "listener.h"
 #include "peermessages.h"
+#include "releasewatch.h"
 #include "storewatch.h"
 
 #include "kumquathaven/base/walltime.h"
@@ -49,6 +50,15 @@
     return options;
 }
 
+std::uint32_t servingInstances(const catalogue::Instances &instances)
+{
+    const auto n =
+        std::count_if(instances.entries.begin(), instances.entries.end(), [](const auto &it) {
+            return it.second.state == catalogue::InstanceState::Serving;
+        });
+    return static_cast<std::uint32_t>(std::max<std::ptrdiff_t>(1, n));
+}
+
 } // namespace
 
 struct GatewayRole::Impl
@@ -62,6 +72,7 @@
     void scheduleTick();
     void tick();
     void applyView(TimePoint now);
+    void reportRollout(const feed::RolloutReport &report);
     void updateGauges(TimePoint now);
     void announce(catalogue::InstanceState state);
     void answerProbe(runtime::HttpExchange &exchange);
@@ -78,6 +89,7 @@
     TokenLimits limits;
     Gateway gateway;
     PeerMessages peers;
+    ReleaseWatch releases;
     StoreWatches stores;
     Listener listener;
     runtime::HttpServer probes;
@@ -106,6 +118,10 @@
     , limits(settings.platform->limitSlackTokens)
     , gateway(settings, dialect, metrics, limits)
     , peers(self, gateway, hub)
+    , releases(gateway,
+               [this](const feed::RolloutReport &it) {
+                   reportRollout(it);
+               })
     , stores(gateway)
     , listener(gateway)
     , probes({probeThreads},
@@ -206,6 +222,7 @@
     applyView(now);
     endConvicted(gateway, gateway.quarantine.judge(now));
     peers.tick(now);
+    releases.tick({peers.isRoot(), peers.connectedInstances()}, now);
     stores.tick(now);
     running = gateway.running;
     isReady = gateway.plan != nullptr && gateway.servers.listReadAt != TimePoint{} && !isDraining;
@@ -217,6 +234,23 @@
     updateGauges(now);
 }
 
+/// Sends control what all entries counted. While nothing is connected the entries' own brake holds,
+/// and the next report tells the same.
+void GatewayRole::Impl::reportRollout(const feed::RolloutReport &report)
+{
+    orElse(
+        [&] {
+            return feed.report(report);
+        },
+        [this](const Error &error) {
+            metrics
+                .counter("kumquathaven_rollout_reports_unsent_total",
+                         "reports about rollouts that could not be sent to control",
+                         {{"reason", std::string(errorCodeName(error.code))}})
+                .add();
+        });
+}
+
 /// Updates the gauges of the known state.
 void GatewayRole::Impl::updateGauges(TimePoint now)
 {
@@ -250,11 +284,14 @@
         gateway.retryRules.instances = static_cast<std::uint32_t>(
             std::max<std::size_t>(1, snapshot.instances->entries.size()));
         gateway.servers.fleet.entries = gateway.retryRules.instances;
+        gateway.servers.releases.instances = servingInstances(*snapshot.instances);
         peers.updateInstances(*snapshot.instances, now);
     }
     lastSnapshot = snapshot;
-    if (isNewCatalogue)
+    if (isNewCatalogue) {
         applyCatalogue(gateway.servers, snapshot.catalogue, now);
+        releases.rolloutsChanged(applyReleases(gateway.servers, wallMilliseconds(), now));
+    }
     if (isNewPlan) {
         orElse(
             [&]() -> Result<void> {
--- a/lib/gateway/listcodec.cpp
+++ b/lib/gateway/listcodec.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t maxModels = 256;
 constexpr std::uint64_t maxMilliseconds = 3'600'000;
 constexpr std::size_t fieldCount = 9;
+constexpr std::size_t maxReleaseBytes = 256;
 
 std::uint64_t millisecondsOf(Duration d)
 {
@@ -126,6 +127,28 @@
     return Result<ListMessage>(std::move(message));
 }
 
+std::string encodeListReleases(const ListReleases &releases)
+{
+    return wire::toCbor(json::array({releases.digest, json(releases.releases)}));
+}
+
+Result<ListReleases> decodeListReleases(std::string_view bytes, const std::string &peer)
+{
+    BOOST_LEAF_AUTO(value, wire::fromCbor(bytes, "gateway.list", peer));
+    const bool isMessage = value.is_array() && value.size() >= 2 && value[0].is_number_unsigned()
+        && value[1].is_array() && value[1].size() <= maxServers;
+    if (!isMessage)
+        return fail(malformed(peer, "the message has no releases of servers"));
+    ListReleases result;
+    result.digest = value[0].get<std::uint64_t>();
+    for (const json &it : value[1]) {
+        if (!it.is_string() || it.get_ref<const std::string &>().size() > maxReleaseBytes)
+            return fail(malformed(peer, "the message has a malformed release"));
+        result.releases.push_back(it.get<std::string>());
+    }
+    return Result<ListReleases>(std::move(result));
+}
+
 std::string encodeFreshness(const ListFreshness &freshness)
 {
     return wire::toCbor(json::array({freshness.digest, millisecondsOf(freshness.age)}));
--- a/lib/gateway/listsharing.cpp
+++ b/lib/gateway/listsharing.cpp
@@ -29,6 +29,8 @@
         std::string text = deployment::startIdOf(it) + '|' + it.service + '|'
             + settings::toString(it.address) + '|' + it.failureDomain + '|'
             + std::to_string(it.slots) + (it.isDraining ? "|leaving" : "|");
+        if (!it.release.empty())
+            text += "|release=" + it.release;
         for (const auto &[model, version] : it.weights)
             text += '|' + model + '=' + std::to_string(version);
         sum += stableHash(text);
@@ -87,6 +89,32 @@
     return message;
 }
 
+ListReleases releasesOf(const ListMessage &message)
+{
+    ListReleases result{message.digest, {}};
+    const auto isTold = [](const deployment::ListedServer &it) {
+        return !it.release.empty();
+    };
+    if (message.servers == nullptr
+        || std::none_of(message.servers->begin(), message.servers->end(), isTold))
+        return result;
+    for (const deployment::ListedServer &it : *message.servers)
+        result.releases.push_back(it.release);
+    return result;
+}
+
+void addReleases(ListMessage &message, const ListReleases &releases)
+{
+    const bool isSame = message.servers != nullptr && message.digest == releases.digest
+        && message.servers->size() == releases.releases.size();
+    if (!isSame)
+        return;
+    ServerList servers = *message.servers;
+    for (std::size_t n = 0; n < servers.size(); ++n)
+        servers[n].release = releases.releases[n];
+    message.servers = std::make_shared<const ServerList>(std::move(servers));
+}
+
 bool applyAnswer(ListSharing &sharing, const ListMessage &message, TimePoint now)
 {
     sharing.requestedAt = {};
--- a/lib/gateway/listsharing.h
+++ b/lib/gateway/listsharing.h
@@ -39,6 +39,13 @@
     std::shared_ptr<const ServerList> servers;
 };
 
+/// Releases of the servers of a list, in its order. Empty if the platform tells of none.
+struct ListReleases
+{
+    std::uint64_t digest = 0;
+    std::vector<std::string> releases;
+};
+
 /// Digest and age of a list.
 struct ListFreshness
 {
@@ -81,6 +88,12 @@
 /// Answers a request of an instance whose list has the digest \p digest.
 ListMessage answerListRequest(const ListSharing &sharing, std::uint64_t digest, TimePoint now);
 
+/// Returns the releases of the servers in a message.
+ListReleases releasesOf(const ListMessage &message);
+
+/// Sets the releases of the servers in a message, unless they are those of another list.
+void addReleases(ListMessage &message, const ListReleases &releases);
+
 /// Applies the answer of the parent. Returns whether the current list became newer.
 bool applyAnswer(ListSharing &sharing, const ListMessage &message, TimePoint now);
 
@@ -90,6 +103,8 @@
 Result<std::uint64_t> decodeListRequest(std::string_view bytes, const std::string &peer);
 std::string encodeList(const ListMessage &message);
 Result<ListMessage> decodeList(std::string_view bytes, const std::string &peer);
+std::string encodeListReleases(const ListReleases &releases);
+Result<ListReleases> decodeListReleases(std::string_view bytes, const std::string &peer);
 
 /// Encode digest and age for the note that goes along with every message to children. Decoding
 /// returns nothing if the note is empty or malformed.
--- a/lib/gateway/peermessages.cpp
+++ b/lib/gateway/peermessages.cpp
@@ -18,6 +18,10 @@
 constexpr const char *updateKind = "update";
 constexpr const char *listRequestKind = "listQuestion";
 constexpr const char *listKind = "list";
+/// Comes before the list that it belongs to, since versions before read no further fields of that.
+constexpr const char *listReleasesKind = "listReleases";
+/// Time between two reports of counts about rollouts.
+constexpr Duration releasesInterval = std::chrono::milliseconds(200);
 
 overlay::TreeNode nodeOf(const catalogue::Instance &instance)
 {
@@ -101,6 +105,34 @@
         m_member.setLevel(demandKey(customer), demand, now);
     for (const auto &[customer, tokens] : report.spent)
         m_member.addIncrement(spendingKey(customer), tokens);
+    publishReleases(now);
+}
+
+/// Hands the counts about rollouts to the tree. They are levels, so that entries that join later
+/// learn them as well.
+void PeerMessages::publishReleases(TimePoint now)
+{
+    if (now - m_releasesReportedAt < releasesInterval || !m_gateway.plan)
+        return;
+    m_releasesReportedAt = now;
+    Releases &releases = m_gateway.servers.releases;
+    if (releases.rollouts.empty())
+        return;
+    if (updateCounters(releases, m_gateway.plan->plan, now)) {
+        for (const auto &it : releases.counters)
+            setCounterOfOthers(releases, it.first,
+                               overlay::levelOfOthers(m_member.aggregate(), it.first));
+    }
+    std::set<std::uint64_t> keys;
+    for (const auto &[key, value] : ownCounters(releases)) {
+        m_member.setLevel(key, value, now);
+        keys.insert(key);
+    }
+    for (const std::uint64_t key : m_releaseKeys) {
+        if (keys.count(key) == 0)
+            m_member.setLevel(key, 0, now);
+    }
+    m_releaseKeys = std::move(keys);
 }
 
 void PeerMessages::perform(const overlay::MemberEffects &effects, TimePoint now)
@@ -135,7 +167,8 @@
     for (const overlay::Key key : m_member.takeChangedLevels()) {
         const std::int64_t value = overlay::levelOfOthers(m_member.aggregate(), key);
         const TimePoint decreasedAt = overlay::lastDecreaseOfOthers(m_member.aggregate(), key);
-        if (!setBacklogOfOthers(m_gateway.servers, key, value, decreasedAt, now))
+        if (!setBacklogOfOthers(m_gateway.servers, key, value, decreasedAt, now)
+            && !setCounterOfOthers(m_gateway.servers.releases, key, value))
             m_gateway.limits.setDemandOfOthers(key, value);
     }
 }
@@ -225,6 +258,7 @@
 
 void PeerMessages::closed(const wire::Peer &peer, TimePoint now)
 {
+    m_releasesOfList.erase(peer.link);
     if (!peer.outgoing)
         m_member.childClosed(peer.link);
     else if (const std::string name = uplinkOf(peer.link); !name.empty())
@@ -262,12 +296,25 @@
     }
     if (frame.kind == listRequestKind) {
         BOOST_LEAF_AUTO(digest, decodeListRequest(frame.body, peer.name));
-        send(peer.link, listKind, encodeList(answerListRequest(m_sharing, digest, now)));
+        const ListMessage answer = answerListRequest(m_sharing, digest, now);
+        if (answer.servers != nullptr)
+            send(peer.link, listReleasesKind, encodeListReleases(releasesOf(answer)));
+        send(peer.link, listKind, encodeList(answer));
+        return true;
+    }
+    if (frame.kind == listReleasesKind) {
+        BOOST_LEAF_AUTO(releases, decodeListReleases(frame.body, peer.name));
+        m_releasesOfList[peer.link] = std::move(releases);
         return true;
     }
     if (frame.kind != listKind)
         return false;
     BOOST_LEAF_AUTO(message, decodeList(frame.body, peer.name));
+    const auto releases = m_releasesOfList.find(peer.link);
+    if (releases != m_releasesOfList.end()) {
+        addReleases(message, releases->second);
+        m_releasesOfList.erase(releases);
+    }
     const std::uint64_t before = m_sharing.digest;
     if (applyAnswer(m_sharing, message, now))
         applyList(m_gateway.servers, *m_sharing.servers, m_sharing.readAt);
--- a/lib/gateway/peermessages.h
+++ b/lib/gateway/peermessages.h
@@ -15,6 +15,7 @@
 #include "kumquathaven/wire/hub.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,14 @@
     /// every few tens of milliseconds.
     void tick(TimePoint now);
 
+    /// Returns whether this entry is the root of the tree, and the number of entries that are
+    /// connected through it, including this one.
+    bool isRoot() const { return m_member.isRoot(); }
+    std::uint32_t connectedInstances() const
+    {
+        return overlay::connectedInstances(m_member.aggregate());
+    }
+
     /// Handle the opening and closing of a link, and a message. Links that are not part of the tree
     /// are ignored. A malformed message is counted.
     void opened(const wire::Peer &peer);
@@ -51,6 +60,7 @@
     void applyVerdict(const overlay::Fact &fact, TimePoint now);
     void applyLevels(TimePoint now);
     void publish(TimePoint now);
+    void publishReleases(TimePoint now);
     void shareList(TimePoint now);
     void handleReadList(const std::vector<deployment::ListedServer> &servers, TimePoint now);
     void logObservation(const ServerObservation &observation) const;
@@ -66,7 +76,12 @@
     /// Links that this entry opened, by the name of the other entry.
     std::map<std::string, wire::LinkId> m_uplinks;
     TimePoint m_outcomesReportedAt{};
+    TimePoint m_releasesReportedAt{};
+    /// Keys of the counts about rollouts that were handed to the tree.
+    std::set<std::uint64_t> m_releaseKeys;
     ListSharing m_sharing;
+    /// Releases of the servers of a list that follows on a link.
+    std::map<wire::LinkId, ListReleases> m_releasesOfList;
     ServerListReader m_listReader;
     telemetry::Histogram &m_eventAges;
     telemetry::Gauge &m_connected;
--- a/lib/gateway/pick.cpp
+++ b/lib/gateway/pick.cpp
@@ -1,5 +1,6 @@
 // Chooses a server for a request.
 
+#include "candidates.h"
 #include "enginechoice.h"
 #include "overload.h"
 #include "servers.h"
@@ -146,85 +147,6 @@
     return store;
 }
 
-/// A server that may get the request, with its start.
-struct Candidate
-{
-    const std::string *start = nullptr;
-    const KnownServer *server = nullptr;
-};
-
-bool acceptsRequest(const Servers &servers, const PickRequest &request, const std::string &start,
-                    const KnownServer &server, TimePoint now)
-{
-    const routing::UpstreamView &view = servers.fleet.upstreams[server.slot];
-    return !view.leaving && !view.loading && server.pausedUntil <= now
-        && request.tried.count(start) == 0
-        && routing::takesWork(view.health, deployment::isRepeatable(*request.route))
-        && isUsableVersion(servers, request.head->model, versionNumber(view.weightsVersion), now);
-}
-
-/// Removes failing servers, up to the share that may be left out.
-void removeFailing(std::vector<Candidate> &candidates, TimePoint now)
-{
-    std::vector<const KnownServer *> failing;
-    for (const Candidate &it : candidates) {
-        if (isFailing(it.server->outcomes, now))
-            failing.push_back(it.server);
-    }
-    const std::size_t most = maxFailing(candidates.size());
-    if (failing.size() > most) {
-        // Those that failed longest ago are the ones to try again.
-        std::sort(failing.begin(), failing.end(), [](const auto *a, const auto *b) {
-            return a->outcomes.failingUntil > b->outcomes.failingUntil;
-        });
-        failing.resize(most);
-    }
-    const auto isRemoved = [&](const Candidate &it) {
-        return std::find(failing.begin(), failing.end(), it.server) != failing.end();
-    };
-    candidates.erase(std::remove_if(candidates.begin(), candidates.end(), isRemoved),
-                     candidates.end());
-}
-
-/// Returns the servers that may get the request. Servers that recently refused a request are
-/// returned only if there are no others.
-std::vector<Candidate> candidatesOf(const Servers &servers, const PickRequest &request,
-                                    const std::string &service, TimePoint now)
-{
-    std::vector<Candidate> candidates;
-    std::vector<Candidate> refusing;
-    for (const auto &[start, server] : servers.known) {
-        if (server.listed.service != service
-            || !acceptsRequest(servers, request, start, server, now))
-            continue;
-        (server.refusesUntil > now ? refusing : candidates).push_back({&start, &server});
-    }
-    std::vector<Candidate> &usable = candidates.empty() ? refusing : candidates;
-    removeFailing(usable, now);
-    return usable;
-}
-
-/// Returns the services of a route, starting with the one that the weights select for this request.
-std::vector<std::string> servicesOf(const PickRequest &request)
-{
-    std::uint64_t total = 0;
-    for (const deployment::WeightedService &it : request.route->services)
-        total += it.weight;
-    std::vector<std::string> services;
-    if (total == 0)
-        return services;
-    std::uint64_t draw = stableHash(request.head->requestId) % total;
-    std::size_t first = 0;
-    while (draw >= request.route->services[first].weight)
-        draw -= request.route->services[first++].weight;
-    services.push_back(request.route->services[first].service);
-    for (std::size_t n = 0; n < request.route->services.size(); ++n) {
-        if (n != first && request.route->services[n].weight > 0)
-            services.push_back(request.route->services[n].service);
-    }
-    return services;
-}
-
 /// Chooses the server without an engine that has the least work in proportion to its slots.
 const Candidate &leastBusy(const Servers &servers, const std::vector<Candidate> &candidates,
                            const PickRequest &request)
@@ -247,7 +169,8 @@
                              });
 }
 
-Pick pickOf(const Candidate &candidate, const deployment::Service *service)
+Pick pickOf(const Servers &servers, const PickRequest &request, const Candidate &candidate,
+            const deployment::Service *service)
 {
     Pick result;
     result.start = *candidate.start;
@@ -256,6 +179,8 @@
     result.service = candidate.server->listed.service;
     result.slot = candidate.server->slot;
     result.maxConnections = service != nullptr ? service->maxConnections : 0;
+    result.send = releaseSendOf(servers.releases, candidate.server->listed, *candidate.start,
+                                request.route->name);
     return result;
 }
 
@@ -392,7 +317,7 @@
         std::find_if(candidates.begin(), candidates.end(), [&](const Candidate &it) {
             return it.server->slot == choice->slot;
         });
-    Pick result = pickOf(*chosen, service);
+    Pick result = pickOf(servers, request, *chosen, service);
     const bool isKnown = isPlacementKnown(servers, out.chains[choice->chain], choice->slot, now);
     recordWorkStart(servers, servers.known.at(result.start), now);
     result.ticket = routing::commit(servers.fleet, out, *choice, now);
@@ -435,7 +360,7 @@
                               const deployment::Service *service, TimePoint now)
 {
     const Candidate &chosen = leastBusy(servers, candidates, request);
-    Pick result = pickOf(chosen, service);
+    Pick result = pickOf(servers, request, chosen, service);
     const routing::PrefixChain nothing(routing::PrefixScope{}, std::vector<routing::NamedPart>{},
                                        blockTokens);
     result.ticket =
@@ -452,19 +377,19 @@
     routing::reviewHealth(servers.fleet, now);
     routing::updateSpeedSteps(servers.fleet, now);
     for (const std::string &name : servicesOf(request)) {
-        const std::vector<Candidate> candidates = candidatesOf(servers, request, name, now);
-        if (candidates.empty())
-            continue;
         const deployment::Service *service = serviceOf(*request.plan, name);
         const bool isEngine = service != nullptr && service->engine.has_value();
-        std::optional<Pick> result = isEngine
-            ? pickEngine(servers, request, candidates, service, excessWait, now)
-            : pickPlain(servers, request, candidates, service, now);
-        if (!result)
-            continue;
-        ++servers.known.at(result->start).running;
-        servers.changedBacklogs.insert(result->start);
-        return result;
+        for (const std::vector<Candidate> &it : candidatesOf(servers, request, name, now)) {
+            std::optional<Pick> result = isEngine
+                ? pickEngine(servers, request, it, service, excessWait, now)
+                : pickPlain(servers, request, it, service, now);
+            if (!result)
+                continue;
+            ++servers.known.at(result->start).running;
+            servers.changedBacklogs.insert(result->start);
+            countSend(servers.releases, result->send);
+            return result;
+        }
     }
     return std::nullopt;
 }
@@ -488,29 +413,4 @@
     return result;
 }
 
-std::optional<Duration> timeToPauseEnd(const Servers &servers, const PickRequest &request,
-                                       TimePoint now)
-{
-    std::optional<Duration> shortest;
-    for (const std::string &name : servicesOf(request)) {
-        for (const auto &[start, server] : servers.known) {
-            const Duration left = server.pausedUntil - now;
-            const bool isPaused = left > Duration(0) && server.listed.service == name;
-            if (!isPaused || !acceptsRequest(servers, request, start, server, server.pausedUntil))
-                continue;
-            shortest = shortest ? std::min(*shortest, left) : left;
-        }
-    }
-    return shortest;
-}
-
-bool canPick(const Servers &servers, const PickRequest &request, TimePoint now)
-{
-    for (const std::string &name : servicesOf(request)) {
-        if (!candidatesOf(servers, request, name, now).empty())
-            return true;
-    }
-    return false;
-}
-
 } // namespace kumquathaven::gateway
--- a/lib/gateway/servers.cpp
+++ b/lib/gateway/servers.cpp
@@ -3,7 +3,6 @@
 #include "servers.h"
 #include "servertables.h"
 
-#include "kumquathaven/base/hash.h"
 #include "kumquathaven/deployment/rollout.h"
 
 #include <algorithm>
@@ -36,10 +35,6 @@
 /// Maximum number of shared prompts that are tracked as being in the store or on the way there.
 constexpr std::size_t maxStored = 20'000;
 
-/// Maximum share of a backlog that is assumed to be done while no first token confirms progress: a
-/// server without first tokens may be stuck.
-constexpr double maxUnconfirmedShare = 0.5;
-
 routing::Policy policyOf()
 {
     routing::Policy policy;
@@ -95,13 +90,6 @@
         refresh(servers, start, server);
 }
 
-/// Returns the prompt tokens of all instances that wait at a server.
-double backlogOf(const Servers &servers, const KnownServer &server)
-{
-    return routing::outstandingTokens(servers.fleet.upstreams[server.slot])
-        + static_cast<double>(server.backlogOfOthers);
-}
-
 /// Queues an observation for the other instances; it is dropped if too many are queued.
 void queueObservation(Servers &servers, ServerObservation observation)
 {
@@ -150,6 +138,14 @@
     return true;
 }
 
+std::vector<const deployment::ListedServer *> listedServers(const Servers &servers)
+{
+    std::vector<const deployment::ListedServer *> list;
+    for (const auto &it : servers.known)
+        list.push_back(&it.second.listed);
+    return list;
+}
+
 /// Marks a start as leaving. Returns whether that is new.
 bool markLeaving(Servers &servers, const std::string &start, TimePoint now)
 {
@@ -263,6 +259,7 @@
         it = servers.known.erase(it);
     }
     servers.listReadAt = now;
+    applySupply(servers.releases, listedServers(servers));
     forgetDeparted(servers, now);
 }
 
@@ -281,6 +278,17 @@
     refreshAll(servers);
 }
 
+std::vector<std::string> applyReleases(Servers &servers, std::uint64_t wallMs, TimePoint now)
+{
+    if (!servers.catalogue)
+        return {};
+    std::vector<std::string> changed =
+        applyRollouts(servers.releases, servers.catalogue->rollouts, wallMs, now);
+    if (!changed.empty())
+        applySupply(servers.releases, listedServers(servers));
+    return changed;
+}
+
 void applyPlacedPrompt(Servers &servers, const PlacedPrompt &prompt, TimePoint now)
 {
     std::vector<routing::NamedPart> parts;
@@ -302,87 +310,6 @@
             it, {server->second.slot, view.generation, view.streamRun, false, now});
 }
 
-Duration expectedWait(const Servers &servers, const KnownServer &server, TimePoint now)
-{
-    const double tokens = backlogOf(servers, server);
-    const double speed = routing::prefillSpeed(servers.fleet, server.slot);
-    const double done = toSeconds(now - server.lastProgressAt) * speed;
-    return fromSeconds((tokens - std::min(done, tokens * maxUnconfirmedShare)) / speed);
-}
-
-void recordWorkStart(const Servers &servers, KnownServer &server, TimePoint now)
-{
-    if (backlogOf(servers, server) <= 0)
-        server.lastProgressAt = now;
-}
-
-std::uint64_t backlogKey(const std::string &start)
-{
-    constexpr std::uint64_t seed = 0x6261'636b'6c6f'67;
-    return stableHash(start, seed);
-}
-
-std::uint64_t answersKey(const std::string &start)
-{
-    constexpr std::uint64_t seed = 0x616e'7377'6572'73;
-    return stableHash(start, seed);
-}
-
-std::uint64_t errorsKey(const std::string &start)
-{
-    constexpr std::uint64_t seed = 0x6572'726f'7273;
-    return stableHash(start, seed);
-}
-
-std::map<std::string, OutcomeCounts> takeOutcomes(Servers &servers)
-{
-    std::map<std::string, OutcomeCounts> counts;
-    for (const std::string &start : std::exchange(servers.changedOutcomes, {})) {
-        const auto it = servers.known.find(start);
-        if (it != servers.known.end())
-            counts[start] = std::exchange(it->second.unreportedOutcomes, {});
-    }
-    return counts;
-}
-
-bool applyOutcomesOfOthers(Servers &servers, std::uint64_t key, std::int64_t amount, TimePoint now)
-{
-    const auto start = servers.startsByKey.find(key);
-    if (start == servers.startsByKey.end())
-        return false;
-    const bool isErrors = key == errorsKey(start->second);
-    addOutcomes(servers.known.at(start->second).outcomes,
-                {isErrors ? 0 : amount, isErrors ? amount : 0}, now);
-    return true;
-}
-
-std::map<std::string, std::uint64_t> takeChangedBacklogs(Servers &servers)
-{
-    std::map<std::string, std::uint64_t> backlogs;
-    for (const std::string &start : std::exchange(servers.changedBacklogs, {})) {
-        const auto it = servers.known.find(start);
-        // A server that has left the list has no backlog any more.
-        backlogs[start] = it == servers.known.end()
-            ? 0
-            : static_cast<std::uint64_t>(
-                routing::outstandingTokens(servers.fleet.upstreams[it->second.slot]));
-    }
-    return backlogs;
-}
-
-bool setBacklogOfOthers(Servers &servers, std::uint64_t key, std::int64_t tokens,
-                        TimePoint decreasedAt, TimePoint now)
-{
-    const auto start = servers.startsByKey.find(key);
-    if (start == servers.startsByKey.end())
-        return false;
-    KnownServer &server = servers.known.at(start->second);
-    recordWorkStart(servers, server, now);
-    server.lastProgressAt = std::max(server.lastProgressAt, decreasedAt);
-    server.backlogOfOthers = static_cast<std::uint64_t>(std::max<std::int64_t>(0, tokens));
-    return true;
-}
-
 void recordFirstToken(Servers &servers, const Pick &pick, TimePoint now)
 {
     if (servers.known.count(pick.start) == 0)
--- a/lib/gateway/servers.h
+++ b/lib/gateway/servers.h
@@ -15,6 +15,7 @@
 #include "kumquathaven/deployment/server.h"
 #include "kumquathaven/routing/choice.h"
 #include "outcomes.h"
+#include "releases.h"
 
 #include <array>
 #include <cstdint>
@@ -165,6 +166,7 @@
     std::set<std::string> changedOutcomes;
     /// Starts by the keys of their backlogs, answers and errors.
     std::unordered_map<std::uint64_t, std::string> startsByKey;
+    Releases releases;
 };
 
 /// Input of the choice in addition to the state of the servers.
@@ -177,6 +179,8 @@
     /// Starts of the servers that the request was already sent to.
     std::set<std::string> tried;
     TimePoint deadline{};
+    /// Whether a server with the new release of a running rollout failed it.
+    bool failedAtNextRelease = false;
 };
 
 /// The chosen server, and what is sent to it together with the request.
@@ -201,6 +205,7 @@
     Duration expectedFirstToken{0};
     /// Reason of the choice, for logs.
     std::string reason;
+    ReleaseSend send;
 };
 
 /// Applies a complete list. Servers that are not on it are removed.
@@ -210,6 +215,10 @@
 void applyCatalogue(Servers &servers, std::shared_ptr<const catalogue::Catalogue> catalogue,
                     TimePoint now);
 
+/// Applies the rollouts that the catalogue has; \p wallMs is the present time in milliseconds since
+/// 1970. Returns the services whose rollout changed.
+std::vector<std::string> applyReleases(Servers &servers, std::uint64_t wallMs, TimePoint now);
+
 /// Chooses a server and counts the request as running there. Returns nothing if no server may get
 /// it.
 std::optional<Pick> pick(Servers &servers, const PickRequest &request, TimePoint now);
@@ -317,7 +326,7 @@
 /// Applies the pause of a server that another instance measured.
 void applyPeerPace(Servers &servers, const ServerPace &engineSpeed);
 
-/// Records the end of an attempt.
+/// Records the end of an attempt, apart from what countSendEnd() counts.
 void recordAttemptEnd(Servers &servers, const Pick &pick, AttemptEnd end, TimePoint now);
 
 /// Records that another server answered at the address.
