Reports about rollouts carry cut attempts and groups of servers

Cause: the decision tells one failing server from a bad release by them. Change: the counts of a route and a list of groups, with their bounds.

--- a/lib/feed/messages.cpp
+++ b/lib/feed/messages.cpp
@@ -54,10 +54,7 @@
 
 json toJson(const release::Counts &counts)
 {
-    json value = json::array({counts.sent, counts.failed});
-    for (const std::int64_t it : counts.delays)
-        value.push_back(it);
-    return value;
+    return json::array({counts.sent, counts.failed, counts.delays, counts.cut});
 }
 
 /// Encodes the body of a message. Each body is an array, which is compact: a proof is sent twice a
@@ -106,8 +103,12 @@
         json routes = json::array();
         for (const auto &[name, counts] : it.evidence.routes)
             routes.push_back(json::array({name, toJson(counts.present), toJson(counts.next)}));
+        json groups = json::array();
+        for (const release::GroupCounts &group : it.evidence.groups)
+            groups.push_back(json::array({group.answered, group.failed}));
         return json::array({it.service, it.number, std::move(routes), it.evidence.runningAtPresent,
-                            it.evidence.instances, it.evidence.instancesServing});
+                            it.evidence.instances, it.evidence.instancesServing,
+                            std::move(groups)});
     }
 };
 
@@ -206,12 +207,30 @@
         Elements elements(*it);
         counts.sent = elements.count();
         counts.failed = elements.count();
+        Elements buckets(elements.value());
         for (std::int64_t &bucket : counts.delays)
-            bucket = elements.count();
-        m_isValid = m_isValid && elements.isComplete();
+            bucket = buckets.count();
+        counts.cut = elements.count();
+        elements.skipRest();
+        m_isValid = m_isValid && buckets.isComplete() && elements.isComplete();
         return counts;
     }
 
+    std::array<release::GroupCounts, release::serverGroupCount> groups()
+    {
+        std::array<release::GroupCounts, release::serverGroupCount> groups;
+        Elements list(value());
+        for (release::GroupCounts &group : groups) {
+            Elements elements(list.value());
+            group.answered = elements.count();
+            group.failed = elements.count();
+            elements.skipRest();
+            m_isValid = m_isValid && elements.isComplete();
+        }
+        m_isValid = m_isValid && list.isComplete();
+        return groups;
+    }
+
     std::map<std::string, release::RouteCounts> routes()
     {
         std::map<std::string, release::RouteCounts> routes;
@@ -321,6 +340,7 @@
             static_cast<std::uint32_t>(std::min<std::uint64_t>(elements.number(), maxInstances));
         it.evidence.instancesServing =
             static_cast<std::uint32_t>(std::min<std::uint64_t>(elements.number(), maxInstances));
+        it.evidence.groups = elements.groups();
         elements.skipRest();
         return Message(std::move(it));
     }
--- a/unittests/feed/messagestest.cpp
+++ b/unittests/feed/messagestest.cpp
@@ -16,10 +16,11 @@
 {
     RolloutReport report{"chat", 14, {}};
     release::RouteCounts &route = report.evidence.routes["/v1/chat"];
-    route.present = {100, 1, {}};
+    route.present = {100, 1, 1, {}};
     route.present.delays[release::delayBucketCount - 1] = 99;
-    route.next = {3, 2, {{1}}};
+    route.next = {3, 2, 0, {{1}}};
     report.evidence.routes["/v1/embed"].next.sent = 4;
+    report.evidence.groups[release::serverGroupCount - 1] = {8, 9};
     report.evidence.runningAtPresent = 5;
     report.evidence.instances = 6;
     report.evidence.instancesServing = 7;
@@ -67,10 +68,12 @@
     for (std::size_t n = 0; n <= maxReportedRoutes; ++n)
         tooManyRoutes.push_back(json::array({std::to_string(n), good[2][0][1], good[2][0][1]}));
     json twice = json::array({good[2][0], good[2][0]});
-    json tooFewDelays = good[2][0][1];
+    json tooFewDelays = good[2][0][1][2];
     tooFewDelays.erase(tooFewDelays.begin());
-    json tooManyDelays = good[2][0][1];
+    json tooManyDelays = good[2][0][1][2];
     tooManyDelays.push_back(0);
+    json tooManyGroups = good[6];
+    tooManyGroups.push_back(good[6][0]);
     const std::pair<const char *, json> malformed[] = {
         {"no list", json::object()},
         {"empty", json::array()},
@@ -82,10 +85,15 @@
         {"a route twice", with(at("/2"), twice)},
         {"route name too long", with(at("/2/0/0"), std::string(257, 'a'))},
         {"counts missing", with(at("/2/0"), json::array({"/v1/chat"}))},
-        {"too few delays", with(at("/2/0/1"), tooFewDelays)},
-        {"too many delays", with(at("/2/0/2"), tooManyDelays)},
+        {"too few delays", with(at("/2/0/1/2"), tooFewDelays)},
+        {"too many delays", with(at("/2/0/2/2"), tooManyDelays)},
         {"a negative count", with(at("/2/0/1/0"), -5)},
         {"a count with a fraction", with(at("/2/0/1/1"), 0.5)},
+        {"delays are a number", with(at("/2/0/1/2"), 0)},
+        {"cut is missing", with(at("/2/0/1"), json::array({1, 1, good[2][0][1][2]}))},
+        {"too many groups", with(at("/6"), tooManyGroups)},
+        {"a group without errors", with(at("/6/0"), json::array({1}))},
+        {"groups are missing", json::array({"chat", 14, json::array(), 5, 6, 7})},
         {"running is text", with(at("/3"), "5")},
         {"instances missing", json::array({"chat", 14, json::array(), 5})},
     };
