Rollouts: settings, calls of operators and what a leader knows

Cause: the dialect, the settings and the leader had no part in rollouts. Change: POST and GET of rollouts are read, bounds are settings with defaults, the time since an order is counted without trust in wall clocks.

--- a/include/kumquathaven/catalogue/catalogue.h
+++ b/include/kumquathaven/catalogue/catalogue.h
@@ -162,6 +162,8 @@
     std::uint32_t step = 0;
     /// Share of the requests that the release may get, in thousandths.
     std::uint32_t sharePerMille = 0;
+    /// Time since the order at the last step, in milliseconds, as measured without a wall clock.
+    std::uint64_t elapsedMs = 0;
     /// Figures behind the last step.
     std::string reason;
 };
--- a/include/kumquathaven/catalogue/change.h
+++ b/include/kumquathaven/catalogue/change.h
@@ -134,6 +134,7 @@
     std::uint32_t fromStep = 0;
     RolloutState state = RolloutState::Running;
     std::uint32_t sharePerMille = 0;
+    std::uint64_t elapsedMs = 0;
     std::string reason;
 };
 
--- a/lib/catalogue/rollouts.cpp
+++ b/lib/catalogue/rollouts.cpp
@@ -1,5 +1,6 @@
 #include "rollouts.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace kumquathaven::catalogue {
@@ -72,6 +73,7 @@
     fields.choice("state", rollout.state, rolloutStateNames, Presence::Required);
     fields.number("step", rollout.step);
     fields.number("sharePerMille", rollout.sharePerMille, 0U, wholeShare);
+    fields.number("elapsedMs", rollout.elapsedMs, std::uint64_t{0}, maxOrderedAtMs);
     fields.text("reason", rollout.reason);
     BOOST_LEAF_CHECK(fields.finishKnown());
     return Result<ServiceRollout>(std::move(rollout));
@@ -131,6 +133,7 @@
         rollout.sharePerMille = wholeShare;
     else if (step.state == RolloutState::RolledBack)
         rollout.sharePerMille = 0;
+    rollout.elapsedMs = std::max(rollout.elapsedMs, step.elapsedMs);
     rollout.reason = step.reason;
     ++rollout.step;
     ++catalogue.revision;
@@ -149,6 +152,7 @@
                         {"state", nameOf(rolloutStateNames, it.state)},
                         {"step", it.step},
                         {"sharePerMille", it.sharePerMille},
+                        {"elapsedMs", it.elapsedMs},
                         {"reason", it.reason}});
     return list;
 }
@@ -186,6 +190,7 @@
     value["fromStep"] = step.fromStep;
     value["state"] = nameOf(rolloutStateNames, step.state);
     value["sharePerMille"] = step.sharePerMille;
+    value["elapsedMs"] = step.elapsedMs;
     value["reason"] = step.reason;
 }
 
@@ -206,6 +211,7 @@
                   Presence::Required);
     fields.choice("state", step.state, rolloutStateNames, Presence::Required);
     fields.number("sharePerMille", step.sharePerMille, 0U, wholeShare);
+    fields.number("elapsedMs", step.elapsedMs, std::uint64_t{0}, maxOrderedAtMs);
     fields.text("reason", step.reason);
     return step;
 }
--- a/lib/settings/platform.cpp
+++ b/lib/settings/platform.cpp
@@ -57,6 +57,18 @@
     reader.finish();
 }
 
+void readRollouts(MapReader &platformReader, Platform &platform, Problems &problems)
+{
+    const YAML::Node node = platformReader.child("rollouts", YAML::NodeType::Map, false);
+    if (!node.IsDefined())
+        return;
+    MapReader reader(node, "platform.rollouts", problems);
+    reader.number("exposureShare", platform.exposureShare, 0, 1);
+    reader.number("exposureSlack", platform.exposureSlack, 0, maxAmount);
+    reader.duration("rollbackTime", platform.rollbackTime, minTime, maxTime);
+    reader.finish();
+}
+
 void readTimes(MapReader &reader, Platform &platform)
 {
     reader.duration("drainTime", platform.drainTime, minTime, maxTime);
@@ -92,6 +104,7 @@
     readServerList(reader, platform, problems);
     readTimes(reader, platform);
     readRetries(reader, platform, problems);
+    readRollouts(reader, platform, problems);
     reader.number("limitSlackTokens", platform.limitSlackTokens, 0, maxAmount);
     reader.number("processorShare", platform.processorShare, 0, maxRate);
     reader.number("memoryMb", platform.memoryMb, 1, maxAmount);
--- a/unittests/catalogue/rolloutstest.cpp
+++ b/unittests/catalogue/rolloutstest.cpp
@@ -39,7 +39,7 @@
 RecordRolloutStep stepOf(const State &state, RolloutState to, std::uint32_t share = 10)
 {
     const ServiceRollout &it = state.catalogue.rollouts.at("chat");
-    return {"chat", it.number, it.step, to, share, "why"};
+    return {"chat", it.number, it.step, to, share, 0, "why"};
 }
 
 State copyOf(const State &state)
@@ -144,7 +144,8 @@
 TEST_CASE("a step applies only to the rollout and step that it was decided on")
 {
     State state = declaredState();
-    CHECK(apply(state, {{}, {}, RecordRolloutStep{"chat", 1, 0, RolloutState::Running, 1, ""}}).code
+    CHECK(apply(state, {{}, {}, RecordRolloutStep{"chat", 1, 0, RolloutState::Running, 1, 0, ""}})
+              .code
           == ErrorCode::NotFound);
     REQUIRE(apply(state, {{}, {}, order("v2")}).accepted);
     const RecordRolloutStep first = stepOf(state, RolloutState::Running, 10);
@@ -181,7 +182,7 @@
 TEST_CASE("orders and steps out of bounds are refused with field and allowed values")
 {
     const json start = toJson(Change{{}, {}, order("v2")});
-    const json step = toJson(Change{{}, {}, RecordRolloutStep{"chat", 3, 0, {}, 10, "why"}});
+    const json step = toJson(Change{{}, {}, RecordRolloutStep{"chat", 3, 0, {}, 10, 0, "why"}});
     CHECK(errorOf(start).empty());
     CHECK(errorOf(step).empty());
     const std::string limits = "must be a whole number from 1 to 604800000";
--- a/unittests/settings/platformtest.cpp
+++ b/unittests/settings/platformtest.cpp
@@ -68,6 +68,20 @@
     return text;
 }
 
+/// Renders the section of a value: with the value, or without the section if there is none.
+std::string withSection(std::string text, const std::string &name, bool hasValue)
+{
+    const std::string opening = "{{#" + name + "}}\n";
+    const std::string closing = "{{/" + name + "}}\n";
+    const auto from = text.find(opening);
+    REQUIRE(from != std::string::npos);
+    const auto to = text.find(closing, from);
+    REQUIRE(to != std::string::npos);
+    if (!hasValue)
+        return text.erase(from, to + closing.size() - from);
+    return text.erase(to, closing.size()).erase(from, opening.size());
+}
+
 bool isNumber(const std::string &name)
 {
     return name.rfind("Bounds.", 0) == 0 || name.rfind("Limits.", 0) == 0 || name == "Cloud.LagMs"
@@ -214,6 +228,21 @@
              return ms(it.retryWindow);
          },
          250},
+        {"  rollouts: {exposureShare: 0.05}",
+         [](const auto &it) {
+             return it.exposureShare;
+         },
+         0.05},
+        {"  rollouts: {exposureSlack: 7500000.5}",
+         [](const auto &it) {
+             return it.exposureSlack;
+         },
+         7500000.5},
+        {"  rollouts: {rollbackTime: 2500.5ms}",
+         [&](const auto &it) {
+             return ms(it.rollbackTime);
+         },
+         2500.5},
         {"  limitSlackTokens: 0",
          [](const auto &it) {
              return it.limitSlackTokens;
@@ -273,12 +302,15 @@
     for (const char *line :
          {"    callsPerSecond:", "  processorShare:", "  lossesTolerated:", "  limitSlackTokens: ",
           "  memoryMb:", "  maxDescriptors:", "  checksFencing:", "  firstStart:",
-          "  retries: {slack: , ratio: }", "  drainTime:", "  retries:"}) {
+          "  retries: {slack: , ratio: }", "  drainTime:", "  retries:", "  rollouts:",
+          "  rollouts: {exposureShare: , rollbackTime: }"}) {
         CAPTURE(line);
         Settings settings;
         CHECK(messageOf(line, settings) == "");
         CHECK(settings.platform->retrySlack == Platform().retrySlack);
         CHECK(settings.platform->drainTime == Platform().drainTime);
+        CHECK(settings.platform->exposureShare == Platform().exposureShare);
+        CHECK(settings.platform->rollbackTime == Platform().rollbackTime);
     }
 }
 
@@ -291,6 +323,11 @@
         {"  retries: {slack: 1e999}", R"(platform.retries.slack: "1e999" is not a number)"},
         {"  retries: {slack: 12 or so}", "is not a number"},
         {"  retries: {slack: [1]}", "platform.retries.slack: must be a single value"},
+        {"  rollouts: {exposureShare: 1.5}",
+         R"(platform.rollouts.exposureShare: "1.5" is not a number from 0)"},
+        {"  rollouts: {exposureSlack: -1}", R"(exposureSlack: "-1" is not a number from 0)"},
+        {"  rollouts: {rollbackTime: 5}", R"(rollbackTime: "5" is not a duration with a unit)"},
+        {"  rollouts: {share: 1}", "platform.rollouts.share: unknown field; allowed are"},
         {"  limitSlackTokens: lots", R"(limitSlackTokens: "lots" is not a number from 0)"},
         {"  lossesTolerated: 1.5", R"(lossesTolerated: "1.5" is not a whole number from 0)"},
         {"  maxDescriptors: 0", R"(maxDescriptors: "0" is not a whole number from 64)"},
@@ -316,7 +353,10 @@
         REQUIRE(!text.empty());
         for (int n = 0; n < 300; ++n) {
             const bool hasFractions = n % 2 == 1;
-            const std::string filled = fill(text, [&](const std::string &field) {
+            // Not every platform has bounds of rollouts.
+            const bool hasRollouts = n % 4 < 2;
+            const std::string rendered = withSection(text, "Bounds.ExposureShare", hasRollouts);
+            const std::string filled = fill(rendered, [&](const std::string &field) {
                 // Identities of a process are always there; numbers may be of any size.
                 if (!isNumber(field) || field == "Bounds.RequireFence")
                     return plainValue(field);
@@ -324,7 +364,7 @@
                     return std::to_string(random() % 10);
                 if (field == "Limits.MaxFds")
                     return std::to_string(100 + random() % 100'000);
-                if (field == "Bounds.RetryRatio")
+                if (field == "Bounds.RetryRatio" || field == "Bounds.ExposureShare")
                     return std::to_string(static_cast<double>(random() % 1'000) / 1'000);
                 const std::uint64_t whole = 2 + random() % 70'000;
                 const std::string fraction = std::to_string(random() % 1'000'000);
