--- a/include/kumquathaven/release/release.h
+++ b/include/kumquathaven/release/release.h
@@ -138,7 +138,10 @@
 
 /// Returns why the new release counts as bad, or an empty string. Any instance may ask this of the
 /// sums that it knows: it then sends the release nothing more, without waiting for a decision.
-std::string faultOf(const Evidence &evidence, const Policy &policy);
+/// \p sharePerMille is the present share. At a raised share the new release gets more of the
+/// trouble that both releases have; the largest share is the most lenient.
+std::string faultOf(const Evidence &evidence, const Policy &policy,
+                    std::uint32_t sharePerMille = 1000);
 
 /// Returns whether this instance may send a request of a route to the new release now.
 /// \p sent are the requests of all routes that this instance sent to each side since the rollout
--- a/lib/release/compare.cpp
+++ b/lib/release/compare.cpp
@@ -9,10 +9,8 @@
 
 namespace {
 
-/// Differences that any two groups of servers may show. The new release gets more of the requests
-/// of a bad moment once its share is raised, so more is allowed then.
+/// Differences that any two groups of servers may show.
 constexpr double failureRatio = 1.5;
-constexpr double failureRatioRaised = 4;
 constexpr double failureMargin = 0.005;
 /// A share that is small in much traffic still is many bad answers.
 constexpr double failureMarginAnswers = 15;
@@ -21,12 +19,13 @@
 constexpr double delayMarginAnswers = 40;
 /// Share of the answers that may take up to twice as long.
 constexpr double delayDrift = 0.25;
-constexpr double delayDriftRaised = 1;
-constexpr double minBadAnswers = 4;
 constexpr double minSlowAnswers = 12;
+/// An excess of so many bad answers needs half of the evidence: more must not follow.
+constexpr double manyBadAnswers = 20;
 /// Errors from which on one group of servers is enough to convict the release.
 constexpr double oneGroupErrors = 40;
-constexpr double otherGroupsAnswers = 20;
+/// Errors that the other groups would show at least if they failed as often as the worst one.
+constexpr double otherGroupsExpected = 5;
 constexpr double otherGroupsErrors = 2;
 constexpr std::int64_t suspectErrors = 3;
 /// A failing server has at least this many times the errors of the others.
@@ -47,6 +46,23 @@
     return share + 2 * std::sqrt(share * (1 - std::min(share, 1.0)) / (trials + 1));
 }
 
+/// Returns the share of the new release's answers that events common to both releases may explain.
+/// If they all came while the new release had its present share, it got more of them than of the
+/// answers before.
+double commonShare(double presentEvents, double presentAnswers, double answers, double odds)
+{
+    const double events = presentEvents + 2 * std::sqrt(presentEvents);
+    return std::max(upperShare(presentEvents, presentAnswers), events * odds / answers);
+}
+
+bool isConvicted(double events, double answers, double allowed, double presentShare, double bound)
+{
+    if (allowed >= 1)
+        return false;
+    const bool areMany = events - presentShare * answers >= manyBadAnswers;
+    return evidenceOver(events, answers, allowed) >= (areMany ? bound / 2 : bound);
+}
+
 } // namespace
 
 std::int64_t completedOf(const Counts &counts)
@@ -78,12 +94,13 @@
     const auto answers = static_cast<double>(completedOf(route.next) - route.next.cut);
     const auto presentErrors = static_cast<double>(route.present.failed - route.present.cut);
     const auto presentAnswers = static_cast<double>(completedOf(route.present) - route.present.cut);
-    if (errors < minBadAnswers)
+    if (errors < judgement.minErrors)
         return std::nullopt;
-    const double ratio = judgement.isRaised ? failureRatioRaised : failureRatio;
-    const double allowed = ratio * upperShare(presentErrors, presentAnswers)
+    const double allowed =
+        failureRatio * commonShare(presentErrors, presentAnswers, answers, judgement.odds)
         + judgement.margin * std::min(failureMargin, failureMarginAnswers / answers);
-    if (allowed >= 1 || evidenceOver(errors, answers, allowed) < judgement.bound)
+    const double presentShare = presentErrors / std::max(1.0, presentAnswers);
+    if (!isConvicted(errors, answers, allowed, presentShare, judgement.bound))
         return std::nullopt;
     std::array<char, 160> buf{};
     std::snprintf(buf.data(), buf.size(), "%.0f errors of %.0f answers, before %.0f of %.0f",
@@ -98,7 +115,6 @@
     if (answers < minSlowAnswers || presentAnswers < 1)
         return std::nullopt;
     const double maxMargin = std::min(delayMargin, delayMarginAnswers / answers);
-    const double drift = judgement.isRaised ? delayDriftRaised : delayDrift;
     double slow = answers;
     double presentSlow = presentAnswers;
     for (std::size_t n = 1; n < delayBucketCount; ++n) {
@@ -108,11 +124,10 @@
             * std::min(maxMargin, delayTailMargin + presentSlow / presentAnswers / 2);
         slow -= static_cast<double>(route.next.delays[n - 1]);
         presentSlow -= presentBefore;
-        const double allowed = upperShare(presentSlow, presentAnswers) + margin
-            + drift * presentBefore / presentAnswers;
-        if (slow < minSlowAnswers || allowed >= 1)
-            continue;
-        if (evidenceOver(slow, answers, allowed) < judgement.bound)
+        const double allowed = commonShare(presentSlow, presentAnswers, answers, judgement.odds)
+            + margin + delayDrift * presentBefore / presentAnswers;
+        if (slow < minSlowAnswers
+            || !isConvicted(slow, answers, allowed, presentSlow / presentAnswers, judgement.bound))
             continue;
         std::array<char, 160> buf{};
         std::snprintf(buf.data(), buf.size(),
@@ -177,7 +192,7 @@
         / static_cast<double>(std::max<std::int64_t>(1, worst.answered));
     if (otherFailed >= otherGroupsErrors && otherShare * groupRatio > worstShare)
         return {};
-    if (otherAnswered < otherGroupsAnswers)
+    if (otherAnswered * worstShare < otherGroupsExpected)
         return {failed < oneGroupErrors ? 1.0 : 0.0, false};
     return {1 - std::min(1.0, otherShare * answered / failed), true};
 }
--- a/lib/release/compare.h
+++ b/lib/release/compare.h
@@ -27,8 +27,10 @@
     double explained = 0;
     /// Part of the usual margins that is allowed.
     double margin = 1;
-    /// Whether the new release has more requests than an unproven one gets.
-    bool isRaised = false;
+    /// Errors below which nothing is judged.
+    double minErrors = 4;
+    /// Requests to the new release for each one to the present release, at the present share.
+    double odds = 0;
 };
 
 /// Returns what shows that the new release fails more often on a route, or nothing.
--- a/lib/release/release.cpp
+++ b/lib/release/release.cpp
@@ -11,10 +11,18 @@
 namespace {
 
 /// Probability that any comparison convicts a good release over a whole rollout.
-constexpr double falseAlarms = 1e-3;
+constexpr double falseAlarms = 1e-2;
 /// The share is not raised while a difference has this probability to be chance.
 constexpr double doubt = 0.3;
 constexpr double doubtMargin = 0.4;
+constexpr double doubtErrors = 2;
+/// An excess of errors that is sought, and how sure a release must be to be without it.
+constexpr double soughtExcess = 0.03;
+constexpr double soughtDeviations = 2.8;
+constexpr double commonDeviations = 2.4;
+constexpr double commonErrors = 0.9;
+/// Requests to the new release for each one to the present release: at most so many are assumed.
+constexpr double maxOdds = 4;
 /// Part of the bounds that is used before the release is proven good.
 constexpr double unprovenPart = 0.5;
 /// Share of the requests that goes to the new release while an instance uses up the slack.
@@ -57,18 +65,25 @@
         to.delays[n] += from.delays[n];
 }
 
-/// Returns what differs on a route or on all together, or an empty string.
-std::string differenceOf(const Evidence &evidence, const Policy &policy, Judgement judgement)
+RouteCounts sumOf(const Evidence &evidence)
 {
     RouteCounts all;
     for (const auto &[name, route] : evidence.routes) {
         add(all.present, route.present);
         add(all.next, route.next);
     }
-    const auto next = static_cast<double>(all.next.sent);
-    const auto sent = next + static_cast<double>(all.present.sent);
-    judgement.isRaised =
-        next > 1.5 * unprovenPart * policy.exposureShare * sent + policy.exposureSlack;
+    return all;
+}
+
+double oddsOf(std::uint32_t sharePerMille)
+{
+    const double share = std::min(sharePerMille, 999U) / 1000.0;
+    return std::min(maxOdds, share / (1 - share));
+}
+
+/// Returns what differs on a route or on all together, or an empty string.
+std::string differenceOf(const Evidence &evidence, const Judgement &judgement)
+{
     const auto judge = [&judgement](const std::string &name, const RouteCounts &route) {
         if (const auto failures = failuresOf(route, judgement))
             return name + ": " + *failures;
@@ -80,7 +95,7 @@
         if (std::string difference = judge(name, route); !difference.empty())
             return difference;
     }
-    return judge("all routes", all);
+    return judge("all routes", sumOf(evidence));
 }
 
 std::string secondsText(Duration duration)
@@ -110,7 +125,7 @@
     const auto lacks = [share](double sent, double answers) {
         // Few requests leave the number of those exposed to chance.
         const double expected = share * sent;
-        const double wanted = std::min(expected / 2, expected - 2.5 * std::sqrt(expected));
+        const double wanted = std::min(expected / 2, expected - 3 * std::sqrt(expected));
         return sent >= 20 && answers < std::clamp(wanted, 1.0, enoughAnswers);
     };
     for (const auto &[name, route] : evidence.routes) {
@@ -126,6 +141,13 @@
     return {};
 }
 
+bool isExposureSpent(const Evidence &evidence, const Policy &policy)
+{
+    const RouteCounts all = sumOf(evidence);
+    const auto next = static_cast<double>(all.next.sent);
+    return next >= policy.exposureShare * (next + static_cast<double>(all.present.sent));
+}
+
 /// Returns the share that the servers with the new release can take.
 std::uint32_t capacityShare(const Supply &supply)
 {
@@ -151,6 +173,36 @@
     return 1000;
 }
 
+/// Returns why the release may be bad although nothing is certain, or an empty string.
+std::string doubtOf(const Progress &progress, const Evidence &evidence)
+{
+    const Explanation explanation = explainedByGroup(evidence);
+    Judgement judgement;
+    judgement.bound = std::log(1 / doubt);
+    judgement.explained = explanation.isCertain ? explanation.share : 0;
+    judgement.margin = doubtMargin;
+    judgement.minErrors = doubtErrors;
+    judgement.odds = oddsOf(progress.sharePerMille);
+    std::string difference = differenceOf(evidence, judgement);
+    if (!difference.empty())
+        return "in doubt: " + difference;
+    const RouteCounts all = sumOf(evidence);
+    const auto answers = static_cast<double>(completedOf(all.next));
+    const double errors =
+        static_cast<double>(all.next.failed - all.next.cut) * (1 - judgement.explained);
+    const auto presentErrors = static_cast<double>(all.present.failed - all.present.cut);
+    const double common = std::max(
+        presentErrors * answers / std::max(1.0, static_cast<double>(completedOf(all.present))),
+        presentErrors * judgement.odds);
+    const double sought = common + soughtExcess * answers;
+    const double allowed = std::max(sought - soughtDeviations * std::sqrt(sought),
+                                    common + commonDeviations * std::sqrt(common) + commonErrors);
+    if (errors <= allowed)
+        return {};
+    return "in doubt: " + std::to_string(std::llround(errors)) + " errors of "
+        + std::to_string(std::llround(answers)) + " answers";
+}
+
 /// Returns why the share stays, or an empty string.
 std::string reasonToHold(const Progress &progress, const Evidence &evidence, Duration evidenceAge,
                          const Policy &policy)
@@ -167,11 +219,7 @@
     const std::string route = routeInDoubt(progress, evidence, evidenceAge, policy);
     if (!route.empty())
         return "few answers: " + route;
-    const Explanation explanation = explainedByGroup(evidence);
-    std::string difference = differenceOf(
-        evidence, policy,
-        {std::log(1 / doubt), explanation.isCertain ? explanation.share : 0, doubtMargin});
-    return difference.empty() ? "" : "in doubt: " + difference;
+    return doubtOf(progress, evidence);
 }
 
 } // namespace
@@ -186,19 +234,27 @@
     return bucket;
 }
 
-std::string faultOf(const Evidence &evidence, const Policy &policy)
+std::string faultOf(const Evidence &evidence, const Policy &policy, std::uint32_t sharePerMille)
 {
-    const double bound = std::log(static_cast<double>(evidence.routes.size() + 1) / falseAlarms);
-    std::string fault = differenceOf(evidence, policy, {bound, explainedByGroup(evidence).share});
+    Judgement judgement;
+    judgement.bound = std::log(static_cast<double>(evidence.routes.size() + 1) / falseAlarms);
+    judgement.explained = explainedByGroup(evidence).share;
+    judgement.odds = oddsOf(sharePerMille);
+    std::string fault = differenceOf(evidence, judgement);
     return fault.empty() ? cutsOf(evidence, policy).value_or("") : fault;
 }
 
 Decision decide(const Progress &progress, const Evidence &evidence, Duration evidenceAge,
                 const Supply &supply, const Policy &policy)
 {
-    if (std::string fault = faultOf(evidence, policy); !fault.empty())
+    if (std::string fault = faultOf(evidence, policy, progress.sharePerMille); !fault.empty())
         return {Action::RollBack, 0, std::move(fault)};
     std::string hold = reasonToHold(progress, evidence, evidenceAge, policy);
+    // What is in doubt stays under the bound.
+    if (progress.sharePerMille >= rampShares.front() && isExposureSpent(evidence, policy)) {
+        if (std::string inDoubt = doubtOf(progress, evidence); !inDoubt.empty())
+            return {Action::RollBack, 0, std::move(inDoubt)};
+    }
     const bool isAll = progress.sharePerMille >= 1000;
     if (isAll && hold.empty()) {
         if (evidence.runningAtPresent == 0)
@@ -235,7 +291,8 @@
     const double slack = unprovenPart * policy.exposureSlack / std::max(1U, instances);
     const auto sent = static_cast<double>(sentPresent + sentNext);
     const double credit = share * (sent + 1) + slack - static_cast<double>(sentNext);
-    if (credit <= 0)
+    // The draws alone keep to the share; the count bounds what they may deviate.
+    if (credit <= -1)
         return false;
     if (credit >= 1)
         return draw < std::max(share, slackShare);
