--- a/lib/release/release.cpp
+++ b/lib/release/release.cpp
@@ -12,8 +12,10 @@
 
 /// Probability that any comparison convicts a good release over a whole rollout.
 constexpr double falseAlarms = 1e-2;
-/// The share is not raised while a difference has this probability to be chance.
-constexpr double doubt = 0.3;
+/// Probabilities that a difference is chance below which the share is not raised, and below which
+/// a release is rolled back once its exposure is spent.
+constexpr double holdingChance = 0.3;
+constexpr double returningChance = 0.05;
 constexpr double doubtMargin = 0.4;
 constexpr double doubtErrors = 2;
 /// An excess of errors that is sought, and how sure a release must be to be without it.
@@ -105,21 +107,11 @@
     return buf.data();
 }
 
-/// Returns the share of a route's requests that the new release should have got by now.
-double expectedShare(const Progress &progress, Duration evidenceAge, const Policy &policy)
-{
-    const double elapsed = std::max(1e-3, toSeconds(progress.elapsed));
-    const double inStep = std::clamp(toSeconds(progress.inStep - evidenceAge), 0.0, elapsed);
-    const double unproven = unprovenPart * policy.exposureShare;
-    const double share = progress.sharePerMille / 1000.0;
-    return (unproven * (elapsed - inStep) + share * inStep) / elapsed;
-}
-
 /// Returns the route that lacks answers of the new release, or an empty string.
-std::string routeInDoubt(const Progress &progress, const Evidence &evidence, Duration evidenceAge,
-                         const Policy &policy)
+std::string routeInDoubt(const Evidence &evidence, const Policy &policy)
 {
-    const double share = expectedShare(progress, evidenceAge, policy);
+    // Of the small share also later: a route may have lost its traffic since.
+    const double share = unprovenPart * policy.exposureShare;
     double allSent = 0;
     double allAnswers = 0;
     const auto lacks = [share](double sent, double answers) {
@@ -173,30 +165,35 @@
     return 1000;
 }
 
-/// Returns why the release may be bad although nothing is certain, or an empty string.
-std::string doubtOf(const Progress &progress, const Evidence &evidence)
+/// Returns what differs with a probability under \p chance to be none, or an empty string.
+std::string doubtOf(const Progress &progress, const Evidence &evidence, double chance)
 {
     const Explanation explanation = explainedByGroup(evidence);
     Judgement judgement;
-    judgement.bound = std::log(1 / doubt);
+    judgement.bound = std::log(1 / chance);
     judgement.explained = explanation.isCertain ? explanation.share : 0;
     judgement.margin = doubtMargin;
     judgement.minErrors = doubtErrors;
     judgement.odds = oddsOf(progress.sharePerMille);
     std::string difference = differenceOf(evidence, judgement);
-    if (!difference.empty())
-        return "in doubt: " + difference;
+    return difference.empty() ? "" : "in doubt: " + difference;
+}
+
+/// Returns the errors that a release with the sought excess may well have, or an empty string.
+std::string excessOf(const Progress &progress, const Evidence &evidence)
+{
+    const Explanation explanation = explainedByGroup(evidence);
     const RouteCounts all = sumOf(evidence);
     const auto answers = static_cast<double>(completedOf(all.next));
-    const double errors =
-        static_cast<double>(all.next.failed - all.next.cut) * (1 - judgement.explained);
+    const double errors = static_cast<double>(all.next.failed - all.next.cut)
+        * (explanation.isCertain ? 1 - explanation.share : 1);
     const auto presentErrors = static_cast<double>(all.present.failed - all.present.cut);
-    const double common = std::max(
-        presentErrors * answers / std::max(1.0, static_cast<double>(completedOf(all.present))),
-        presentErrors * judgement.odds);
+    const auto presentAnswers = std::max(1.0, static_cast<double>(completedOf(all.present)));
+    const double common = std::max(presentErrors * answers / presentAnswers,
+                                   presentErrors * oddsOf(progress.sharePerMille));
     const double sought = common + soughtExcess * answers;
-    const double allowed = std::max(sought - soughtDeviations * std::sqrt(sought),
-                                    common + commonDeviations * std::sqrt(common) + commonErrors);
+    const double allowed = std::max({1.0, sought - soughtDeviations * std::sqrt(sought),
+                                     common + commonDeviations * std::sqrt(common) + commonErrors});
     if (errors <= allowed)
         return {};
     return "in doubt: " + std::to_string(std::llround(errors)) + " errors of "
@@ -216,10 +213,11 @@
         return "small share until " + secondsText(rampAt);
     if (progress.inStep - evidenceAge < dwellTime(progress.limit))
         return "share is new";
-    const std::string route = routeInDoubt(progress, evidence, evidenceAge, policy);
+    const std::string route = routeInDoubt(evidence, policy);
     if (!route.empty())
         return "few answers: " + route;
-    return doubtOf(progress, evidence);
+    std::string doubt = doubtOf(progress, evidence, holdingChance);
+    return doubt.empty() ? excessOf(progress, evidence) : doubt;
 }
 
 } // namespace
@@ -252,7 +250,7 @@
     std::string hold = reasonToHold(progress, evidence, evidenceAge, policy);
     // What is in doubt stays under the bound.
     if (progress.sharePerMille >= rampShares.front() && isExposureSpent(evidence, policy)) {
-        if (std::string inDoubt = doubtOf(progress, evidence); !inDoubt.empty())
+        if (std::string inDoubt = doubtOf(progress, evidence, returningChance); !inDoubt.empty())
             return {Action::RollBack, 0, std::move(inDoubt)};
     }
     const bool isAll = progress.sharePerMille >= 1000;
--- a/unittests/release/history.cpp
+++ b/unittests/release/history.cpp
@@ -54,6 +54,8 @@
     {
         for (auto &it : m_servers)
             it.resize(load.servers);
+        for (std::size_t n = 0; n < load.routes.size(); ++n)
+            m_names.push_back("route" + std::to_string(n));
         // A single failing server is the one that is exposed first.
         for (auto &it : m_greys) {
             while (it.size() < load.greyServers)
@@ -106,10 +108,12 @@
 
     std::size_t pick(std::size_t side, const Progress &progress)
     {
-        std::vector<std::size_t> usable;
-        std::vector<std::size_t> last;
+        std::vector<std::size_t> &usable = m_usable;
+        std::vector<std::size_t> &last = m_last;
+        usable.clear();
+        last.clear();
         const std::size_t count = side == 0 ? m_load.servers : nextServers();
-        const std::size_t avoided = side == 0 ? serverGroupCount : avoidedGroup(m_known);
+        const std::size_t avoided = side == 0 ? serverGroupCount : m_avoided;
         for (std::size_t n = 0; n < count; ++n) {
             // A crash is noticed 200 ms later.
             if (m_servers[side][n].downUntil > m_now && m_servers[side][n].downUntil < m_now + 2.8)
@@ -138,7 +142,7 @@
                          m_random.uniform());
         const std::size_t side = isNext ? 1 : 0;
         ++it.sent[side];
-        RouteCounts &counts = it.counts.routes["route" + std::to_string(route)];
+        RouteCounts &counts = it.counts.routes[m_names[route]];
         ++(isNext ? counts.next : counts.present).sent;
         if (m_now <= m_load.limit) {
             ++m_result.sent;
@@ -199,7 +203,7 @@
             if (it.instance >= m_instances.size())
                 continue;
             Evidence &evidence = m_instances[it.instance].counts;
-            RouteCounts &route = evidence.routes["route" + std::to_string(it.route)];
+            RouteCounts &route = evidence.routes[m_names[it.route]];
             Counts &counts = it.side == 1 ? route.next : route.present;
             if (isCut || it.isError) {
                 ++counts.failed;
@@ -267,6 +271,7 @@
     void control()
     {
         m_known = m_sums.front().second;
+        m_avoided = avoidedGroup(m_known);
         m_isBraked = m_isBraked || !faultOf(m_known, m_policy, m_progress.sharePerMille).empty();
         const bool isAway = m_now >= m_load.controlAwayFrom && m_now < m_load.controlAwayEnd;
         if (isAway || m_result.end != Action::Hold)
@@ -301,6 +306,10 @@
     Progress m_progress;
     Progress m_before;
     Evidence m_known;
+    std::size_t m_avoided = serverGroupCount;
+    std::vector<std::string> m_names;
+    std::vector<std::size_t> m_usable;
+    std::vector<std::size_t> m_last;
     std::vector<Instance> m_instances;
     std::array<std::vector<Server>, sides> m_servers;
     std::priority_queue<Ending> m_endings;
--- a/unittests/release/releasetest.cpp
+++ b/unittests/release/releasetest.cpp
@@ -161,6 +161,12 @@
              it.evidence.routes["lookup"].next = counts(300, 0);
          },
          Action::Hold, 1000, "7 requests run"},
+        {"a route has lost its traffic",
+         [](State &it) {
+             it.progress = {4, 1000, seconds(17), seconds(20), seconds(2)};
+             it.evidence.runningAtPresent = 0;
+         },
+         Action::Complete, 1000, "nothing runs"},
         {"all moved",
          [](State &it) {
              it.progress = {4, 1000, seconds(17), seconds(20), seconds(2)};
