Gateway: histories of rollouts use what a leader keeps

Cause: the histories decided from one report alone. Change: they use the leader's memory; the new message of lists is in a fuzz target.

--- a/test/fuzz/entries.cpp
+++ b/test/fuzz/entries.cpp
@@ -28,6 +28,12 @@
     return gateway::encodeListRequest(digest);
 }
 
+Result<std::string> releasesAgain(std::string_view bytes)
+{
+    BOOST_LEAF_AUTO(releases, gateway::decodeListReleases(bytes, "fuzz"));
+    return gateway::encodeListReleases(releases);
+}
+
 } // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
@@ -36,5 +42,6 @@
     fuzz::checkStable(bytes, eventAgain);
     fuzz::checkStable(bytes, listAgain);
     fuzz::checkStable(bytes, questionAgain);
+    fuzz::checkStable(bytes, releasesAgain);
     return 0;
 }
--- a/unittests/gateway/releasehistoriestest.cpp
+++ b/unittests/gateway/releasehistoriestest.cpp
@@ -4,6 +4,8 @@
 #include "enginefixture.h"
 #include "overlay/network.h"
 
+#include "kumquathaven/deployment/releases.h"
+
 #include <doctest/doctest.h>
 
 #include <cmath>
@@ -73,7 +75,7 @@
         m_order.release = "v2";
         m_order.number = 5;
         m_order.limitMs = static_cast<std::uint64_t>(limit / milliseconds(1));
-        m_orderedAt = m_stepAt = m_network.now();
+        m_orderedAt = m_network.now();
         for (Entry &it : m_entries)
             start(it);
     }
@@ -245,14 +247,15 @@
         const Releases &releases = m_entries[n].releases;
         release::Evidence evidence = evidenceOf(releases, releases.rollouts.at(service));
         evidence.instances = overlay::connectedInstances(m_network.member(n).aggregate());
-        const release::Progress progress{m_order.step, m_order.sharePerMille, now - m_orderedAt,
-                                         limit, now - m_stepAt};
-        const release::Decision decision = release::decide(
-            progress, evidence, milliseconds(100), releases.rollouts.at(service).supply, {});
-        if (decision.action == release::Action::Hold)
+        if (m_memory.number != m_order.number || m_memory.step != m_order.step)
+            deployment::observe(m_memory, m_order, 0, now);
+        deployment::take(m_memory, evidence, now);
+        const deployment::RolloutDecision next =
+            deployment::nextStep(m_memory, m_order, releases.rollouts.at(service).supply, {}, now);
+        const release::Decision &decision = next.decision;
+        if (!next.step)
             return;
         ++m_order.step;
-        m_stepAt = now;
         m_order.reason = decision.reason;
         if (decision.action == release::Action::Advance)
             m_order.sharePerMille = decision.sharePerMille;
@@ -272,7 +275,7 @@
     deployment::Plan m_plan;
     catalogue::ServiceRollout m_order;
     TimePoint m_orderedAt{};
-    TimePoint m_stepAt{};
+    deployment::RolloutMemory m_memory;
     TimePoint m_nextControl{};
     TimePoint m_noticedAt{};
     std::int64_t m_badAnswers = 0;
