Rollouts: the leader's duty, reports between members and operators' calls

Cause: nothing moved an ordered rollout on, and orders had no answer. Change: a duty decides on the leader and proposes steps; a follower forwards reports; POST and GET of rollouts are answered; the list of servers is read once for both duties; upstreams of the catalogue may carry a release.

--- a/include/kumquathaven/catalogue/catalogue.h
+++ b/include/kumquathaven/catalogue/catalogue.h
@@ -91,6 +91,8 @@
     std::string model;
     std::string weightsVersion;
     std::vector<std::string> adapters;
+    /// Release of its software, which a rollout moves traffic to or from. May be empty.
+    std::string release;
     /// For engines: the state that orders bring the engine to. Without a value it gets no orders.
     std::optional<DesiredState> desired;
     /// Whether the upstream refuses orders with an outdated fencing number.
--- a/include/kumquathaven/deployment/releases.h
+++ b/include/kumquathaven/deployment/releases.h
@@ -22,6 +22,11 @@
 release::Supply supplyOf(const std::vector<ListedServer> &servers, const std::string &service,
                          const std::string &release);
 
+/// Returns the upstreams that a route of the catalogue may use, by release. Those that are leaving
+/// are not counted; each counts as one slot.
+release::Supply supplyOf(const catalogue::Catalogue &catalogue, const std::string &route,
+                         const std::string &release);
+
 /// Returns whether the listed servers of the service all have the release, and there is one.
 bool runsAlready(const std::vector<ListedServer> &servers, const std::string &service,
                  const std::string &release);
--- a/lib/catalogue/entries.cpp
+++ b/lib/catalogue/entries.cpp
@@ -118,6 +118,7 @@
     fields.text("failureDomain", upstream.failureDomain);
     fields.text("model", upstream.model);
     fields.text("weightsVersion", upstream.weightsVersion);
+    fields.text("release", upstream.release);
     fields.texts("adapters", upstream.adapters);
     if (const nlohmann::json *desired = fields.find("desired", Presence::Optional)) {
         BOOST_LEAF_ASSIGN(upstream.desired, desiredFromJson(*desired, subject));
@@ -212,6 +213,8 @@
     value["failureDomain"] = upstream.failureDomain;
     value["model"] = upstream.model;
     value["weightsVersion"] = upstream.weightsVersion;
+    if (!upstream.release.empty())
+        value["release"] = upstream.release;
     value["adapters"] = upstream.adapters;
     if (upstream.desired)
         value["desired"] = desiredToJson(*upstream.desired);
--- a/lib/control/controlrole.cpp
+++ b/lib/control/controlrole.cpp
@@ -10,6 +10,8 @@
 #include "operators.h"
 #include "orderduty.h"
 #include "platformwatch.h"
+#include "rolloutduty.h"
+#include "serverlist.h"
 #include "weightsduty.h"
 
 #include "kumquathaven/ledger/machine.h"
@@ -85,6 +87,7 @@
     void dispatch(const std::string &member, const MemberMessage &message);
     void setHandlers();
     void addDuties();
+    void addRollouts();
     void supervise();
     Result<void> start();
     Result<void> startPlatformServers(runtime::ServerBounds bounds);
@@ -111,7 +114,9 @@
     std::unique_ptr<DeclarationsContext> platformContext;
     std::unique_ptr<runtime::HttpServer> declarations;
     std::unique_ptr<runtime::HttpServer> directory;
+    std::unique_ptr<ServerList> serverList;
     std::unique_ptr<WeightsDuty> weights;
+    std::unique_ptr<RolloutDuty> rollouts;
     runtime::Supervisor feeding;
     runtime::Supervisor ordering;
     runtime::Supervisor root;
@@ -180,7 +185,9 @@
             orderDuty->observe(share, stop);
         });
     if (dialect) {
-        weights = std::make_unique<WeightsDuty>(settings, *dialect, *logs.front(), machine);
+        serverList = std::make_unique<ServerList>(settings, *dialect);
+        weights =
+            std::make_unique<WeightsDuty>(settings, *dialect, *logs.front(), machine, *serverList);
         ordering.add("weights", [this](const runtime::StopSignal &stop) {
             weights->run(stop);
         });
@@ -189,6 +196,7 @@
                 weights->call(stop);
             });
     }
+    addRollouts();
     root.add("ordering", [this](const runtime::StopSignal &stop) {
         ordering.run(stop);
     });
@@ -204,6 +212,29 @@
     });
 }
 
+void ControlRole::Impl::addRollouts()
+{
+    release::Policy policy;
+    if (settings.platform) {
+        policy.exposureShare = settings.platform->exposureShare;
+        policy.exposureSlack = settings.platform->exposureSlack;
+        policy.rollbackTime = settings.platform->rollbackTime;
+    }
+    rollouts =
+        std::make_unique<RolloutDuty>(policy, *logs.front(), machine, metrics, serverList.get());
+    feed->onReport([this](const feed::RolloutReport &report) {
+        rollouts->receive(report);
+    });
+    ordering.add("rollouts", [this](const runtime::StopSignal &stop) {
+        rollouts->run(stop);
+    });
+    if (serverList) {
+        ordering.add("rolloutServers", [this](const runtime::StopSignal &stop) {
+            rollouts->readList(stop);
+        });
+    }
+}
+
 void ControlRole::Impl::supervise()
 {
     try {
@@ -397,7 +428,7 @@
 Result<void> ControlRole::Impl::startPlatformServers(runtime::ServerBounds bounds)
 {
     platformContext = std::make_unique<DeclarationsContext>(
-        DeclarationsContext{settings, *dialect, machine, *logs.front()});
+        DeclarationsContext{settings, *dialect, machine, *logs.front(), *serverList});
     declarations =
         std::make_unique<runtime::HttpServer>(bounds, [this](runtime::HttpExchange &exchange) {
             handleDeclarations(*platformContext, exchange);
--- a/lib/control/declarations.cpp
+++ b/lib/control/declarations.cpp
@@ -3,7 +3,9 @@
 #include "awaitcommand.h"
 #include "callerentries.h"
 
+#include "kumquathaven/base/walltime.h"
 #include "kumquathaven/catalogue/json.h"
+#include "kumquathaven/deployment/releases.h"
 #include "kumquathaven/telemetry/log.h"
 #include "kumquathaven/wire/cbor.h"
 
@@ -23,6 +25,9 @@
 /// leave.
 constexpr Duration entriesTtl = std::chrono::seconds(2);
 
+/// Maximum age of a list of servers that shows a release to run already.
+constexpr Duration maxReadingAge = std::chrono::seconds(10);
+
 using runtime::HttpReply;
 
 /// Returns the address for operators of the member \p instance: the host of its link, with the port
@@ -70,6 +75,42 @@
     return {};
 }
 
+std::uint64_t toMilliseconds(Duration time)
+{
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
+/// The names of the services of a declaration; none if it can't be read.
+std::set<std::string> servicesOf(const DeclarationsContext &context,
+                                 const catalogue::Declaration &declaration)
+{
+    if (!declaration.text)
+        return {};
+    return orElse(
+        [&]() -> Result<std::set<std::string>> {
+            BOOST_LEAF_AUTO(plan, context.dialect.control.readPlan(*declaration.text));
+            std::set<std::string> names;
+            for (const auto &it : plan.services)
+                names.insert(it.first);
+            return Result<std::set<std::string>>(std::move(names));
+        },
+        [](const Error &) {
+            return std::set<std::string>();
+        });
+}
+
+std::optional<Error> isRefused(const DeclarationsContext &context,
+                               const deployment::StartRolloutCall &call)
+{
+    const auto catalogue = context.machine.published().catalogue;
+    const auto reading = context.servers.newest();
+    const bool isFresh = reading && monotonicNow() - reading->readAt <= maxReadingAge;
+    return rolloutRefusal(*catalogue, servicesOf(context, catalogue->declaration),
+                          isFresh ? reading->servers : std::vector<deployment::ListedServer>(),
+                          call);
+}
+
 /// Answers each kind of operator call.
 struct Answerer
 {
@@ -96,6 +137,42 @@
         return context.dialect.control.acknowledge();
     }
 
+    Result<HttpReply> operator()(const deployment::StartRolloutCall &call) const
+    {
+        // A refusal ends the operator's call for good, so it needs the newest state.
+        if (isRefused(context, call)) {
+            BOOST_LEAF_CHECK(confirmNewest(context));
+            if (const std::optional<Error> refusal = isRefused(context, call))
+                return fail(*refusal);
+        }
+        const std::uint64_t limitMs = toMilliseconds(call.limit);
+        BOOST_LEAF_CHECK(propose(
+            context,
+            {{},
+             {},
+             catalogue::StartRollout{call.service, call.release, limitMs, wallMilliseconds()}}));
+        telemetry::logLine(telemetry::LogLevel::Info, "declarations", "rollout acknowledged",
+                           {{"service", call.service},
+                            {"release", call.release},
+                            {"limitMs", std::to_string(limitMs)}});
+        return context.dialect.control.acknowledge();
+    }
+
+    Result<HttpReply> operator()(const deployment::ReadRolloutCall &call) const
+    {
+        BOOST_LEAF_CHECK(confirmNewest(context));
+        const auto catalogue = context.machine.published().catalogue;
+        const auto it = catalogue->rollouts.find(call.service);
+        if (it == catalogue->rollouts.end())
+            return fail({ErrorCode::NotFound,
+                         "declarations.rollout",
+                         {},
+                         "service \"" + call.service + "\" has no rollout",
+                         Outcome::NotRun,
+                         {}});
+        return context.dialect.control.replyWithRollout(it->second);
+    }
+
     Result<HttpReply> operator()(const deployment::ReadDeclarationCall &) const
     {
         BOOST_LEAF_CHECK(confirmNewest(context));
@@ -152,6 +229,34 @@
     return status.configuration.voters.size() >= 2 * std::size_t{lossesTolerated} + 1;
 }
 
+std::optional<Error> rolloutRefusal(const catalogue::Catalogue &catalogue,
+                                    const std::set<std::string> &services,
+                                    const std::vector<deployment::ListedServer> &servers,
+                                    const deployment::StartRolloutCall &call)
+{
+    const auto refusal = [](ErrorCode code, const std::string &message) {
+        return Error{code, "declarations.rollout", {}, message, Outcome::NotRun, {}};
+    };
+    const auto last = catalogue.rollouts.find(call.service);
+    const bool isRepeated = last != catalogue.rollouts.end() && last->second.release == call.release
+        && last->second.limitMs == toMilliseconds(call.limit);
+    if (isRepeated)
+        return std::nullopt;
+    if (!catalogue.declaration.text)
+        return refusal(ErrorCode::Unavailable, "no declaration has been accepted yet");
+    if (services.count(call.service) == 0)
+        return refusal(ErrorCode::InvalidRequest,
+                       "service \"" + call.service
+                           + "\" is unknown; it must be one of the declaration");
+    const bool isRunning =
+        last != catalogue.rollouts.end() && last->second.state == catalogue::RolloutState::Running;
+    if (!isRunning && deployment::runsAlready(servers, call.service, call.release))
+        return refusal(ErrorCode::InvalidRequest,
+                       "all servers of service \"" + call.service + "\" run release \""
+                           + call.release + "\" already");
+    return std::nullopt;
+}
+
 void handleDirectory(const DeclarationsContext &context, runtime::HttpExchange &exchange)
 {
     exchange.reply(orElse(
--- a/lib/control/declarations.h
+++ b/lib/control/declarations.h
@@ -6,11 +6,14 @@
 
 #include "cataloguemachine.h"
 #include "logduty.h"
+#include "serverlist.h"
 
 #include "kumquathaven/deployment/dialect.h"
 #include "kumquathaven/runtime/httpserver.h"
 #include "kumquathaven/settings/settings.h"
 
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,6 +26,7 @@
     const deployment::Dialect &dialect;
     const CatalogueMachine &machine;
     LogDuty &log;
+    const ServerList &servers;
 };
 
 /// Handles one request of an operator. Only the leader answers it; other members redirect the
@@ -41,6 +45,14 @@
 bool hasEnoughVoters(const LogStatus &status, const catalogue::Declaration &held,
                      std::uint32_t lossesTolerated);
 
+/// Returns why an order can't be carried out, or nothing: there is no declaration yet, or it has no
+/// such service, or all servers of \p servers run the release already. An order that equals the
+/// last one of the service is never refused, since it may have been acknowledged before.
+std::optional<Error> rolloutRefusal(const catalogue::Catalogue &catalogue,
+                                    const std::set<std::string> &services,
+                                    const std::vector<deployment::ListedServer> &servers,
+                                    const deployment::StartRolloutCall &call);
+
 } // namespace kumquathaven::control
 
 #endif // KUMQUATHAVEN_LIB_CONTROL_DECLARATIONS_H
--- a/lib/control/feedduty.cpp
+++ b/lib/control/feedduty.cpp
@@ -191,6 +191,8 @@
                                                       m_departures.endedDepartures(now)}});
     } else if (const auto *leave = std::get_if<feed::Leave>(&message)) {
         proposeOrForward({{}, {}, catalogue::DepartInstance{leave->instance, leave->incarnation}});
+    } else if (const auto *report = std::get_if<feed::RolloutReport>(&message)) {
+        takeOrForward(*report);
     }
 }
 
@@ -253,9 +255,28 @@
         m_proofs.answer(proof->number, proof->index, proof->age);
     } else if (const auto *forward = std::get_if<ForwardChange>(&event.message)) {
         m_log.command(forward->change, [](const CommandResult &) {});
+    } else if (const auto *forwarded = std::get_if<ForwardReport>(&event.message)) {
+        takeForwarded(event.member, *forwarded);
     }
 }
 
+void FeedDuty::takeForwarded(const std::string &member, const ForwardReport &forwarded)
+{
+    orElse(
+        [&]() -> Result<void> {
+            const wire::Frame frame{wire::Channel::Feed, feed::toFrame(feed::RolloutReport()).kind,
+                                    forwarded.body};
+            BOOST_LEAF_AUTO(message, feed::fromFrame(frame, member));
+            // A member that has stopped leading drops the report: a newer one reaches the leader.
+            if (m_log.status().raftState.role == consensus::Role::Leader)
+                takeOrForward(std::get<feed::RolloutReport>(message));
+            return {};
+        },
+        [this](const Error &) {
+            ++m_framesDropped;
+        });
+}
+
 void FeedDuty::handle(const PlatformList &event, TimePoint)
 {
     m_list = event;
@@ -353,6 +374,19 @@
     // Without a known leader the change is dropped: the instance announces itself again.
 }
 
+/// Passes a report to the handler on the leader, and to the leader on another member. Without a
+/// known leader it is dropped, since the instances report again.
+void FeedDuty::takeOrForward(const feed::RolloutReport &report)
+{
+    const LogStatus status = m_log.status();
+    if (status.raftState.role != consensus::Role::Leader) {
+        if (status.raftState.leader)
+            m_send(status.raftState.leader->instance, ForwardReport{feed::toFrame(report).body});
+    } else if (m_reportHandler) {
+        m_reportHandler(report);
+    }
+}
+
 void FeedDuty::deliver(const std::vector<feed::Delivery> &deliveries)
 {
     for (const feed::Delivery &delivery : deliveries) {
--- a/lib/control/feedduty.h
+++ b/lib/control/feedduty.h
@@ -63,6 +63,13 @@
     FeedDuty(const FeedDuty &) = delete;
     FeedDuty &operator=(const FeedDuty &) = delete;
 
+    /// Sets the handler of reports about rollouts, which is called while this member leads. It must
+    /// be set before run().
+    void onReport(std::function<void(const feed::RolloutReport &)> handler)
+    {
+        m_reportHandler = std::move(handler);
+    }
+
     /// Runs until the signal is set. May be called again after a failure: the links of subscribers
     /// are then closed, and they subscribe again.
     void run(const runtime::StopSignal &stop);
@@ -113,12 +120,15 @@
     void updateHints(const LogStatus &status, TimePoint now);
     void updateControlLinks(const LogStatus &status);
     void proposeOrForward(const catalogue::Change &change);
+    void takeForwarded(const std::string &member, const ForwardReport &forwarded);
+    void takeOrForward(const feed::RolloutReport &report);
     void deliver(const std::vector<feed::Delivery> &deliveries);
 
     wire::Hub &m_hub;
     LogDuty &m_log;
     const CatalogueMachine &m_machine;
     SendToMember m_send;
+    std::function<void(const feed::RolloutReport &)> m_reportHandler;
     const Duration m_maxListAge;
     const bool m_publishesMembers;
     const Duration m_instanceLease;
--- a/lib/control/membermessages.cpp
+++ b/lib/control/membermessages.cpp
@@ -18,9 +18,9 @@
 constexpr Duration maxAge = std::chrono::minutes(10);
 
 /// The alternatives of MemberMessage, in the same order.
-enum class Kind { Ask, Proof, Forward, MembershipQuery, MembershipReply, Log, Relay };
+enum class Kind { Ask, Proof, Forward, MembershipQuery, MembershipReply, Log, Relay, Report };
 
-constexpr std::array<EnumName<Kind>, 7> kindNames{{
+constexpr std::array<EnumName<Kind>, 8> kindNames{{
     {Kind::Ask, "ask"},
     {Kind::Proof, "proof"},
     {Kind::Forward, "forward"},
@@ -28,6 +28,7 @@
     {Kind::MembershipReply, "tellBelonging"},
     {Kind::Log, "log"},
     {Kind::Relay, "relay"},
+    {Kind::Report, "rollout"},
 }};
 
 struct BodyWriter
@@ -54,6 +55,7 @@
     }
     // The bytes of a log message are already CBOR.
     std::string operator()(const LogMessage &it) const { return it.bytes; }
+    std::string operator()(const ForwardReport &it) const { return it.body; }
     std::string operator()(const RelayedCommand &it) const
     {
         return wire::toCbor(json::array(
@@ -137,6 +139,8 @@
         return MemberMessage(LogMessage{frame.body});
     if (kind == Kind::Forward)
         return MemberMessage(ForwardChange{frame.body});
+    if (kind == Kind::Report)
+        return MemberMessage(ForwardReport{frame.body});
     BOOST_LEAF_AUTO(body, wire::fromCbor(frame.body, "control.member", peer));
     std::optional<MemberMessage> message;
     if (kind == Kind::Ask)
--- a/lib/control/membermessages.h
+++ b/lib/control/membermessages.h
@@ -70,8 +70,14 @@
     std::string bytes;
 };
 
+/// The body of an entry's report about a rollout that a follower forwards to the leader.
+struct ForwardReport
+{
+    std::string body;
+};
+
 using MemberMessage = std::variant<MemberProofRequest, MemberProof, ForwardChange, MembershipQuery,
-                                   MembershipReply, LogMessage, RelayedCommand>;
+                                   MembershipReply, LogMessage, RelayedCommand, ForwardReport>;
 
 /// Returns the frame that carries a message, on the consensus channel.
 wire::Frame toFrame(const MemberMessage &message);
--- a/lib/control/weightsduty.cpp
+++ b/lib/control/weightsduty.cpp
@@ -20,7 +20,6 @@
 constexpr Duration callerPoll = std::chrono::seconds(1);
 /// Maximum age of the proof of leadership with which orders may be sent.
 constexpr Duration maxProofAge = std::chrono::milliseconds(500);
-constexpr std::size_t maxListPages = 400;
 constexpr std::size_t maxAnswerBytes = std::size_t{4} * 1024 * 1024;
 
 runtime::CallTimeouts callTimeouts()
@@ -35,13 +34,14 @@
 } // namespace
 
 WeightsDuty::WeightsDuty(const settings::Settings &settings, const deployment::Dialect &dialect,
-                         LogDuty &log, const CatalogueMachine &machine)
+                         LogDuty &log, const CatalogueMachine &machine, ServerList &list)
     : m_settings(settings)
     , m_dialect(dialect)
     , m_log(log)
     , m_machine(machine)
     , m_calls(ringCapacity)
     , m_answers(ringCapacity)
+    , m_list(list)
 { }
 
 /// Returns whether this member may send orders. Orders of the former leader may still arrive until
@@ -66,12 +66,12 @@
         if (catalogue->weights.empty() || !mayOrder(now)) {
             m_rollout = {};
             m_servers.clear();
-            m_nextList = {};
+            m_idleAt = now;
             stop.waitFor(idleInterval);
             continue;
         }
         m_term = m_log.status().raftState.term;
-        readList(now);
+        readList();
         const deployment::RolloutStep step =
             nextStep(m_rollout, m_servers, *catalogue, deployment::RolloutTimes(), now);
         record(step);
@@ -86,42 +86,13 @@
     m_calls.close();
 }
 
-/// Reads the list of servers, page by page. If a page can not be read, the former list is kept.
-void WeightsDuty::readList(TimePoint now)
+/// Reads the list of servers. If it can not be read, the former list is kept.
+void WeightsDuty::readList()
 {
-    if (now < m_nextList)
-        return;
-    m_nextList = now + (m_rollout.servers.empty() ? idleListInterval : listInterval);
-    orElse(
-        [&]() -> Result<void> {
-            std::vector<deployment::ListedServer> servers;
-            std::string page;
-            for (std::size_t n = 0; n < maxListPages; ++n) {
-                BOOST_LEAF_AUTO(reply,
-                                runtime::fetch(m_settings.platform->serverList, "GET",
-                                               m_dialect.servers.listPath(page), {}, {},
-                                               callTimeouts(), maxAnswerBytes));
-                if (reply.status != 200)
-                    return fail({ErrorCode::Unavailable,
-                                 "weights.list",
-                                 settings::toString(m_settings.platform->serverList),
-                                 "status " + std::to_string(reply.status),
-                                 Outcome::NotRun,
-                                 {}});
-                BOOST_LEAF_AUTO(read, m_dialect.servers.readListPage(reply.body));
-                for (deployment::ListedServer &it : read.servers)
-                    servers.push_back(std::move(it));
-                page = read.nextPage;
-                if (page.empty())
-                    break;
-            }
-            m_servers = std::move(servers);
-            return {};
-        },
-        [](const Error &error) {
-            telemetry::logLine(telemetry::LogLevel::Warn, "weights",
-                               "the server list could not be read", {{"reason", describe(error)}});
-        });
+    m_list.refresh(m_rollout.servers.empty() ? idleListInterval : listInterval);
+    const auto reading = m_list.newest();
+    if (reading && reading->readAt >= m_idleAt)
+        m_servers = reading->servers;
 }
 
 void WeightsDuty::record(const deployment::RolloutStep &step)
--- a/lib/control/weightsduty.h
+++ b/lib/control/weightsduty.h
@@ -5,6 +5,7 @@
 
 #include "cataloguemachine.h"
 #include "logduty.h"
+#include "serverlist.h"
 
 #include "kumquathaven/base/ring.h"
 #include "kumquathaven/deployment/dialect.h"
@@ -27,7 +28,7 @@
 {
 public:
     WeightsDuty(const settings::Settings &settings, const deployment::Dialect &dialect,
-                LogDuty &log, const CatalogueMachine &machine);
+                LogDuty &log, const CatalogueMachine &machine, ServerList &list);
     WeightsDuty(const WeightsDuty &) = delete;
     WeightsDuty &operator=(const WeightsDuty &) = delete;
 
@@ -45,7 +46,7 @@
     };
 
     bool mayOrder(TimePoint now) const;
-    void readList(TimePoint now);
+    void readList();
     void record(const deployment::RolloutStep &step);
     deployment::RolloutAnswer sendCall(const Call &call) const;
 
@@ -57,7 +58,9 @@
     BoundedRing<deployment::RolloutAnswer> m_answers;
     deployment::Rollout m_rollout;
     std::vector<deployment::ListedServer> m_servers;
-    TimePoint m_nextList;
+    ServerList &m_list;
+    /// When this member last could send no orders. An older reading of the list is not used.
+    TimePoint m_idleAt;
     std::uint64_t m_term = 0;
 };
 
--- a/lib/deployment/releases.cpp
+++ b/lib/deployment/releases.cpp
@@ -63,6 +63,28 @@
     return supply;
 }
 
+release::Supply supplyOf(const catalogue::Catalogue &catalogue, const std::string &route,
+                         const std::string &release)
+{
+    release::Supply supply;
+    const auto found = catalogue.routes.find(route);
+    if (found == catalogue.routes.end())
+        return supply;
+    const catalogue::Route &it = found->second;
+    for (const auto &[name, upstream] : catalogue.upstreams) {
+        const bool isNamed =
+            std::find(it.upstreams.begin(), it.upstreams.end(), name) != it.upstreams.end();
+        const bool isOfModel = it.upstreams.empty() && !it.model.empty()
+            && upstream.kind == catalogue::UpstreamKind::Engine && upstream.model == it.model;
+        if ((!isNamed && !isOfModel) || upstream.state == catalogue::UpstreamState::Leaving)
+            continue;
+        const bool isNext = upstream.release == release;
+        ++(isNext ? supply.nextServers : supply.presentServers);
+        ++(isNext ? supply.nextSlots : supply.presentSlots);
+    }
+    return supply;
+}
+
 bool runsAlready(const std::vector<ListedServer> &servers, const std::string &service,
                  const std::string &release)
 {
--- a/unittests/control/membermessagestest.cpp
+++ b/unittests/control/membermessagestest.cpp
@@ -25,6 +25,7 @@
         MembershipReply{1, true},
         LogMessage{"bytes"},
         RelayedCommand{true, 1, 2, 3, "bytes"},
+        ForwardReport{"bytes"},
     };
     Random random(5);
     for (const MemberMessage &message : messages) {
--- a/unittests/deployment/releasestest.cpp
+++ b/unittests/deployment/releasestest.cpp
@@ -147,6 +147,25 @@
     CHECK_FALSE(runsAlready(servers, "unknown", "v2"));
 }
 
+TEST_CASE("upstreams of a route are counted by release, named or by model")
+{
+    catalogue::Catalogue catalogue;
+    for (const char *name : {"a1", "a2", "b1", "b2"}) {
+        catalogue::Upstream &upstream = catalogue.upstreams[name];
+        upstream.model = name[0] == 'a' ? "m" : "other";
+        upstream.release = name[1] == '2' ? "v2" : "";
+    }
+    catalogue.routes["byModel"].model = "m";
+    catalogue.routes["named"].upstreams = {"a2", "b1", "b2"};
+    CHECK(supplyOf(catalogue, "byModel", "v2").presentServers == 1);
+    CHECK(supplyOf(catalogue, "byModel", "v2").nextServers == 1);
+    CHECK(supplyOf(catalogue, "named", "v2").presentServers == 1);
+    CHECK(supplyOf(catalogue, "named", "v2").nextServers == 2);
+    catalogue.upstreams["b2"].state = catalogue::UpstreamState::Leaving;
+    CHECK(supplyOf(catalogue, "named", "v2").nextSlots == 1);
+    CHECK(supplyOf(catalogue, "unknown", "v2").presentServers == 0);
+}
+
 TEST_CASE("a step is proposed once, again when it may be lost, and a roll-back at once")
 {
     catalogue::ServiceRollout rollout = running();
