--- a/include/kumquathaven/settings/settings.h
+++ b/include/kumquathaven/settings/settings.h
@@ -123,6 +123,11 @@
     /// Entries: whether servers that have just started or recovered get work only as fast as they
     /// answer.
     bool pacesServers = true;
+    /// Rollouts: a bad release may get this share of its service's requests and this many more, and
+    /// none this long after its 50th bad answer.
+    double exposureShare = 0.1;
+    double exposureSlack = 50;
+    Duration rollbackTime = std::chrono::seconds(5);
     /// Part of a processor that the process may use. Zero: not told.
     double processorShare = 0;
     /// Memory that the process may use.
