Rollouts: kumquatctl rollout start, status and abort

Cause: the product's own interface had no rollouts. Change: the three commands; the limit is read with a unit; an order without a time counts from its first sight, since an operator's clock may be wrong.

--- a/include/kumquathaven/catalogue/catalogue.h
+++ b/include/kumquathaven/catalogue/catalogue.h
@@ -154,7 +154,7 @@
     /// The release to which traffic moves, as servers name it.
     std::string release;
     /// Time limit, in milliseconds, and when the order was accepted, in milliseconds since 1970 on
-    /// the clock of the member that proposed it.
+    /// the clock of the member that proposed it; zero if that is not known.
     std::uint64_t limitMs = 0;
     std::uint64_t orderedAtMs = 0;
     /// The revision that accepted the order. It identifies the order and all counts about it.
--- a/lib/deployment/releases.cpp
+++ b/lib/deployment/releases.cpp
@@ -109,7 +109,9 @@
         memory.stepSeenAt = now;
         // A member that was up has seen the order at once, and then the clocks tell nothing. One
         // that starts later subtracts the error that they may have.
-        const std::uint64_t ago = wallNow > rollout.orderedAtMs ? wallNow - rollout.orderedAtMs : 0;
+        // An order without a time tells nothing either.
+        const bool isPast = rollout.orderedAtMs != 0 && wallNow > rollout.orderedAtMs;
+        const std::uint64_t ago = isPast ? wallNow - rollout.orderedAtMs : 0;
         const auto limit = static_cast<std::int64_t>(rollout.limitMs);
         const Duration passed = milliseconds(
             static_cast<std::int64_t>(std::min<std::uint64_t>(ago, catalogue::maxRolloutLimitMs)));
--- a/tools/kumquatctl/commands.cpp
+++ b/tools/kumquatctl/commands.cpp
@@ -1,6 +1,7 @@
 #include "commands.h"
 
 #include "changes.h"
+#include "rollouts.h"
 
 #include "kumquathaven/catalogue/names.h"
 
@@ -373,6 +374,8 @@
         return members(arguments);
     if (command == "orders")
         return orders(arguments);
+    if (command == "rollout")
+        return rollout(arguments);
     return fail(usage(command.empty() ? "no command" : "unknown command \"" + command + "\""));
 }
 
--- a/tools/kumquatctl/commands.h
+++ b/tools/kumquatctl/commands.h
@@ -29,6 +29,9 @@
     std::string customer;
     std::string owner;
     std::string serviceClass;
+    /// For rollouts: the release, and the time limit with its unit.
+    std::string release;
+    std::string limit;
     /// The command's words.
     std::vector<std::string> words;
 };
--- a/tools/kumquatctl/main.cpp
+++ b/tools/kumquatctl/main.cpp
@@ -37,6 +37,10 @@
   key withdraw NAME          withdraw a key for good
   status [WHAT]              members, instances, upstreams, customers, or all
   orders                     what engines are ordered to serve, and how far they are
+  rollout start SERVICE      move the traffic of a route to servers with the release of --release,
+                             step by step, and back if it is bad or not done within --limit
+  rollout status [SERVICE]   the last rollout of each route, or of one
+  rollout abort SERVICE      move the traffic back to the former release
   drain INSTANCE             send callers away from an entry instance
   quarantine ENTRY           requests and parts of prompts that an entry refuses since they crash
                              servers; ENTRY is the operators' address of any entry
@@ -61,6 +65,8 @@
       --owner TEAM           key grant: who answers for it (default: the customer)
       --class CLASS          key grant: quick, standard or patient
       --cut-streams          key withdraw: end streams that were admitted before
+      --release RELEASE      rollout start: the release to move to
+      --limit TIME           rollout start: its time limit with a unit: 90s, 10m, 2h
       --undo                 drain: let callers come back
   -h, --help                 show this text
 
@@ -80,6 +86,7 @@
   echo '{name: rounds, owner: rounds-team, weight: 2}' | kumquatctl put customer -
   kumquatctl --output json get route | jq .
   kumquatctl --expect 41 remove upstream engine-7
+  kumquatctl --release v2 --limit 10m rollout start chat
   kumquatctl status members
   kumquatctl quarantine 10.0.1.1:7400 lift 5c1e07a2
   kumquatctl explain 9c41d07be2a35f68 entry-*.log control-*.log
@@ -132,6 +139,8 @@
     char *customer = nullptr;
     char *owner = nullptr;
     char *serviceClass = nullptr;
+    char *release = nullptr;
+    char *limit = nullptr;
     int cutsStreams = 0;
     int undo = 0;
     int help = 0;
@@ -170,6 +179,8 @@
     arguments.customer = take(options.customer);
     arguments.owner = take(options.owner);
     arguments.serviceClass = take(options.serviceClass);
+    arguments.release = take(options.release);
+    arguments.limit = take(options.limit);
     arguments.words = std::move(words);
     if (arguments.control.empty())
         return wrongUsage("--control must be host:port with commas between, not \"" + control
@@ -208,6 +219,8 @@
         {"customer", 0, POPT_ARG_STRING, &options.customer, 0, nullptr, nullptr},
         {"owner", 0, POPT_ARG_STRING, &options.owner, 0, nullptr, nullptr},
         {"class", 0, POPT_ARG_STRING, &options.serviceClass, 0, nullptr, nullptr},
+        {"release", 0, POPT_ARG_STRING, &options.release, 0, nullptr, nullptr},
+        {"limit", 0, POPT_ARG_STRING, &options.limit, 0, nullptr, nullptr},
         {"cut-streams", 0, POPT_ARG_NONE, &options.cutsStreams, 0, nullptr, nullptr},
         {"undo", 0, POPT_ARG_NONE, &options.undo, 0, nullptr, nullptr},
         {"help", 'h', POPT_ARG_NONE, &options.help, 0, nullptr, nullptr},
--- a/tools/kumquatctl/rollouts.cpp
+++ b/tools/kumquatctl/rollouts.cpp
@@ -83,11 +83,14 @@
 {
     if (arguments.words.size() != 3)
         return fail(usage("rollout abort needs a service"));
+    // Each attempt is a change of its own, so that a change id can't be used.
+    Arguments attempt = arguments;
+    attempt.changeId.clear();
     const TimePoint end = monotonicNow() + arguments.timeout;
     while (true) {
         BOOST_LEAF_AUTO(rollout, rolloutOf(arguments, arguments.words[2]));
         if (rollout["state"] == "rolledBack") {
-            printAnswer(arguments, {{"accepted", true}, {"state", "rolledBack"}}, "rolled back");
+            std::printf("%s\n", arguments.asJson ? rollout.dump().c_str() : "rolled back already");
             return {};
         }
         if (rollout["state"] != "running")
@@ -97,17 +100,15 @@
                          "the rollout is complete; order one back to the former release",
                          Outcome::NotRun,
                          {}});
-        const json change{{"kind", "recordRolloutStep"},
-                          {"service", rollout["service"]},
-                          {"number", rollout["number"]},
-                          {"fromStep", rollout["step"]},
-                          {"state", "rolledBack"},
-                          {"elapsedMs", rollout.value("elapsedMs", 0)},
-                          {"reason", "by an operator"}};
+        const json change{
+            {"kind", "recordRolloutStep"}, {"service", rollout["service"]},
+            {"number", rollout["number"]}, {"fromStep", rollout["step"]},
+            {"state", "rolledBack"},       {"elapsedMs", rollout.value("elapsedMs", 0)},
+            {"reason", "by an operator"}};
         std::optional<Error> problem;
         const json answer = orElse(
             [&] {
-                return sendChange(arguments, change);
+                return sendChange(attempt, change);
             },
             [&](const Error &error) {
                 problem = error;
--- a/unittests/deployment/releasestest.cpp
+++ b/unittests/deployment/releasestest.cpp
@@ -84,6 +84,15 @@
     }
 }
 
+TEST_CASE("an order without a time counts from its first sight")
+{
+    catalogue::ServiceRollout rollout = running();
+    rollout.orderedAtMs = 0;
+    RolloutMemory memory;
+    observe(memory, rollout, orderedAtMs, start);
+    CHECK(elapsedOf(memory, rollout, start + seconds(2)) == seconds(2));
+}
+
 TEST_CASE("a leader that saw a step only counts from the time that the step recorded")
 {
     catalogue::ServiceRollout rollout = running();
--- a/unittests/kumquatctl/limittest.cpp
+++ b/unittests/kumquatctl/limittest.cpp
@@ -11,7 +11,11 @@
 TEST_CASE("a time limit is a whole number with a unit, within its bounds")
 {
     const std::pair<const char *, std::uint64_t> good[] = {
-        {"1ms", 1}, {"12s", 12'000}, {"10m", 600'000}, {"168h", 604'800'000}, {"604800s", 604'800'000},
+        {"1ms", 1},
+        {"12s", 12'000},
+        {"10m", 600'000},
+        {"168h", 604'800'000},
+        {"604800s", 604'800'000},
     };
     for (const auto &row : good) {
         CAPTURE(row.first);
