--- a/cmake/kumquathaven.cmake
+++ b/cmake/kumquathaven.cmake
@@ -34,11 +34,11 @@
   target_link_libraries(kumquathaven_${name} PUBLIC ${arg_DEPS} Boost::headers Threads::Threads)
 endfunction()
 
-# kumquathaven_unittest(NAME SOURCES... DEPS... [HISTORIES FILE]): the one test program of library NAME. The cases of FILE run
-# as unit.NAME_histories and all others as unit.NAME, each on up to eight threads, so that neither comes near the time
-# limit under the thread sanitizer.
+# kumquathaven_unittest(NAME SOURCES... DEPS... [HISTORIES FILES...]): the one test program of library NAME. The cases of
+# the first of FILES run as unit.NAME_histories, those of each further one, Xtest.cpp, as unit.NAME_X, and all others as
+# unit.NAME, each on up to eight threads, so that none comes near the time limit under the thread sanitizer.
 function(kumquathaven_unittest name)
-  cmake_parse_arguments(arg "" "HISTORIES" "SOURCES;DEPS" ${ARGN})
+  cmake_parse_arguments(arg "" "" "SOURCES;DEPS;HISTORIES" ${ARGN})
   add_executable(${name}_tests ${arg_SOURCES})
   target_include_directories(${name}_tests PRIVATE ${CMAKE_SOURCE_DIR}/unittests)
   target_link_libraries(${name}_tests PRIVATE kumquathaven_${name} ${arg_DEPS})
@@ -47,10 +47,20 @@
     set_tests_properties(unit.${name} PROPERTIES LABELS unit TIMEOUT 120)
     return()
   endif()
-  add_test(NAME unit.${name} COMMAND ${name}_tests --source-file-exclude=*/${arg_HISTORIES})
-  add_test(NAME unit.${name}_histories COMMAND ${name}_tests --source-file=*/${arg_HISTORIES})
-  set_tests_properties(unit.${name} unit.${name}_histories
-    PROPERTIES LABELS unit TIMEOUT 120 PROCESSORS 8)
+  list(TRANSFORM arg_HISTORIES PREPEND "*/" OUTPUT_VARIABLE apart)
+  list(JOIN apart "," apart)
+  add_test(NAME unit.${name} COMMAND ${name}_tests --source-file-exclude=${apart})
+  set(tests unit.${name})
+  set(suffix histories)
+  foreach(file IN LISTS arg_HISTORIES)
+    if(NOT suffix)
+      string(REPLACE "test.cpp" "" suffix ${file})
+    endif()
+    add_test(NAME unit.${name}_${suffix} COMMAND ${name}_tests --source-file=*/${file})
+    list(APPEND tests unit.${name}_${suffix})
+    set(suffix "")
+  endforeach()
+  set_tests_properties(${tests} PROPERTIES LABELS unit TIMEOUT 120 PROCESSORS 8)
 endfunction()
 
 # kumquathaven_program(NAME SOURCES... DEPS...): a program in the build's bin folder.
--- a/test/system/platform_standin.py
+++ b/test/system/platform_standin.py
@@ -46,6 +46,7 @@
 
     def __init__(self, name, service, version=0):
         self.name, self.service, self.version = name, service, version
+        self.release = "v1"
         self.born = 1
         self.state = "ready"
         self.orders = 0
@@ -57,6 +58,8 @@
         self.trick = None
         self.lock = threading.Lock()
         self.seen = []
+        # Number of requests that were meant for another server.
+        self.misdirected = 0
         self.fences = []
         owner = self
 
@@ -98,12 +101,13 @@
 
     def entry(self):
         models = [{"Name": "m", "Version": self.version, "Adapters": []}] if self.version else []
-        return {"Service": self.service, "Addr": f"127.0.0.1:{self.port}", "Zone": "z1", "Version": "v1", "Slots": 8,
+        return {"Service": self.service, "Addr": f"127.0.0.1:{self.port}", "Zone": "z1", "Version": self.release, "Slots": 8,
                 "State": self.state, "ColdLeftMs": 0, "Stage": "both", "Models": models, "Id": self.name, "born": self.born}
 
     def handle(self, it):
         body = it.rfile.read(int(it.headers.get("Content-Length") or 0))
         if it.headers.get("X-Target-Instance", self.name) != self.name:
+            self.misdirected += 1
             return self.reply(it, 421, b"", {"X-Instance-Id": self.name})
         if it.path == "/-/report":
             models = [{"Name": "m", "Version": self.version}]
--- a/unittests/gateway/releasestest.cpp
+++ b/unittests/gateway/releasestest.cpp
@@ -67,8 +67,9 @@
 {
     Releases releases;
     apply(releases, it, at(0));
-    std::vector<const deployment::ListedServer *> list;
     const auto servers = listOf(present, next);
+    std::vector<const deployment::ListedServer *> list;
+    list.reserve(servers.size());
     for (const deployment::ListedServer &each : servers)
         list.push_back(&each);
     applySupply(releases, list);
