Requests without a large shared part go to the best of three drawn engines

Each instance chose the best of all engines, and what it knew of the others' short requests was up to 400 ms old for each link of the tree. Shared parts that are read in a few ms had a place of their own that could cost a quarter of the objective.

Change: lib/routing/drawnchoice draws three candidates by a hash of the request and takes the best; a wait of over a quarter of the objective there leads to a choice among all. Shared parts that are read in less than 1 % of the objective have no place.

--- a/include/kumquathaven/routing/choice.h
+++ b/include/kumquathaven/routing/choice.h
@@ -33,9 +33,11 @@
     /// The upstream is computing the shared prefix for another request, and no other upstream
     /// caches it yet.
     BeingRead,
+    /// The upstream is the best of a few that were drawn for the request.
+    Drawn,
 };
 
-constexpr std::array<EnumName<ChoiceReason>, 7> choiceReasonNames = {{
+constexpr std::array<EnumName<ChoiceReason>, 8> choiceReasonNames = {{
     {ChoiceReason::Cached, "cached"},
     {ChoiceReason::Spread, "spread"},
     {ChoiceReason::Placed, "placed"},
@@ -43,6 +45,7 @@
     {ChoiceReason::Import, "import"},
     {ChoiceReason::Trial, "trial"},
     {ChoiceReason::BeingRead, "beingRead"},
+    {ChoiceReason::Drawn, "drawn"},
 }};
 
 /// What a choice needs to know about the KV cache store.
--- a/include/kumquathaven/routing/policy.h
+++ b/include/kumquathaven/routing/policy.h
@@ -60,6 +60,10 @@
     double placementSlack = 0.5;
     Duration placementSlackTime = std::chrono::milliseconds(5);
 
+    /// Number of upstreams of which the best one gets a request that may go anywhere; zero to
+    /// choose among all.
+    std::size_t drawnUpstreams = 3;
+
     /// Half-life of estimates of the wait before the first token.
     Duration waitHalfLife = std::chrono::seconds(5);
     /// Factor on the wait of an attempt that was ended without a first token, since it would have
--- a/lib/gateway/enginechoice.cpp
+++ b/lib/gateway/enginechoice.cpp
@@ -1,6 +1,7 @@
 #include "enginechoice.h"
 
 #include "kumquathaven/base/hash.h"
+#include "kumquathaven/routing/drawnchoice.h"
 
 #include <algorithm>
 #include <vector>
@@ -73,13 +74,15 @@
     return std::nullopt;
 }
 
-/// Chooses a server. A large shared part goes to its highest-ranked placement, in a ranking that is
-/// the same for all instances, or to the next ones if that server is too busy.
+/// Chooses a server. A request without a large shared part goes to one of a few drawn for it, so
+/// that instances do not all choose the same. A large shared part goes to its highest-ranked
+/// placement, in a ranking that is the same for all instances, or to the next ones if that server
+/// is too busy.
 std::optional<routing::Choice> choosePlaced(const Servers &servers, const routing::Request &request,
                                             const Placement &placement, TimePoint now)
 {
     if (placement.key.empty())
-        return routing::choose(servers.fleet, request, now);
+        return routing::chooseDrawn(servers.fleet, request, placement.maxDrawnWait, now);
     auto best = routing::choose(servers.fleet, request, now);
     if (!best)
         return best;
--- a/lib/gateway/enginechoice.h
+++ b/lib/gateway/enginechoice.h
@@ -30,6 +30,8 @@
     std::vector<routing::Slot> readers;
     /// Maximum additional time to the first event that is accepted for one of the readers.
     Duration maxReaderDelay{0};
+    /// Maximum wait at a server that was drawn for a request without a large shared part.
+    Duration maxDrawnWait{0};
 };
 
 /// Converts a weights version of the routing tables to a number. An empty version is 0.
--- a/lib/gateway/pick.cpp
+++ b/lib/gateway/pick.cpp
@@ -17,6 +17,11 @@
 /// A shared part that an engine reads in less time than this is neither placed nor stored: it costs
 /// less than a step of the engine.
 constexpr Duration minPlacedReadTime = std::chrono::milliseconds(2);
+/// The same as a share of the objective.
+constexpr double minPlacedReadShare = 0.01;
+/// Maximum wait, as a share of the objective, at a server that was drawn for a request whose shared
+/// part is not placed.
+constexpr double maxDrawnWaitShare = 0.25;
 /// A shared part is stored if it is read this many times more slowly than it is fetched over an
 /// idle link. A fetch takes a fixed time besides the transfer.
 constexpr double minStoreGain = 2;
@@ -370,11 +375,14 @@
     const deployment::Service *store = storeFor(servers, request);
     Placement placement;
     const Duration readTime = sharedReadTime(servers, request, out);
-    const bool isPlaced = readTime >= minPlacedReadTime;
+    const bool isPlaced = readTime >= minPlacedReadTime
+        && toSeconds(readTime) >= toSeconds(request.route->objective) * minPlacedReadShare;
     if (isWorthStoring(request, service, store, readTime))
         addStoreView(servers, request, service, store, out, placement, now);
     placement.maxReaderDelay =
         std::chrono::duration_cast<Duration>((request.deadline - now) * maxReaderDelayShare);
+    placement.maxDrawnWait =
+        std::chrono::duration_cast<Duration>(request.route->objective * maxDrawnWaitShare);
     if (isPlaced) {
         placement.key = sharedIdOf(*request.head);
         placement.maxDelay =
