--- a/test/system/platform_common.py
+++ b/test/system/platform_common.py
@@ -140,12 +140,12 @@
         wait_for(acknowledged, seconds, "the declaration is not answered")
         return result[0]
 
-    def request(self, n, path, method="GET", key="k-north", body=None, **headers):
+    def request(self, n, path, method="GET", key="k-north", body=None, timeout=5, **headers):
         fields = {"Host": "a.example", "X-Request-Id": os.urandom(8).hex(), "X-Deadline-Ms": "4000"}
         if key:
             fields["X-Key"] = key
         fields.update({name.replace("_", "-"): value for name, value in headers.items()})
-        return self.call(f"127.0.1.{n}", "callers", method, path, body, fields)
+        return self.call(f"127.0.1.{n}", "callers", method, path, body, fields, timeout)
 
     def membership(self):
         """The storages of all members and the voters by storage as (identity, instance); None if a member does not answer."""
