Memory and connections of a process are bounded for all its peers

Cause: nothing counted what is held for peers (memoryMb was read and used nowhere), and runtime::HttpServer gave a thread and two descriptors to each connection before its request was there, so that slow clients of control and of the probes kept out ordinary ones.

Change: lib/budget, pure decision and accounts of one process: the largest waiting peers end first, then those without progress; small requests keep a reserve; a new connection takes the place of the one that waited longest. Used by the callers' connections of lib/gateway and by runtime::HttpServer, which now reads heads and bodies on one event loop and takes a thread for whole requests only. lib/http moves above lib/runtime for that (headerValue is http's now; one unit test names it so). Parser and output buffers are released, large buffers are mapped apart. Setting bounds.memory (1 GiB) of the native interface; metrics, alert rule, docs/design/memory.md.

Unit tests of budget, runtime, http, settings, entry, control, gateway and system.path passed.

--- a/include/kumquathaven/http/message.h
+++ b/include/kumquathaven/http/message.h
@@ -4,9 +4,10 @@
 #define KUMQUATHAVEN_HTTP_MESSAGE_H
 
 #include "kumquathaven/base/enumnames.h"
-#include "kumquathaven/runtime/http.h"
+#include "kumquathaven/http/fields.h"
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -26,7 +27,7 @@
     std::string reason;
     /// Whether the message has version 1.1 or later.
     bool isVersion11 = true;
-    runtime::HeaderFields fields;
+    HeaderFields fields;
     /// Whether the connection may carry another message after this one.
     bool keepsAlive = true;
     /// Length of the body, if it was told.
@@ -67,6 +68,8 @@
 {
     std::uint32_t maxHeadBytes = 16 * 1024;
     std::uint64_t maxBodyBytes = std::uint64_t{8} * 1024 * 1024;
+    /// A head with more fields is too large.
+    std::size_t maxFields = 256;
 };
 
 enum class MessageSide { Request, Answer };
@@ -97,6 +100,8 @@
     const Head &head() const;
     /// Whether any byte arrived.
     bool hasBegun() const;
+    /// Returns the bytes that are held, besides the body.
+    std::size_t heldBytes() const;
     /// Returns the bytes behind the end of the message.
     std::string takeRest();
 
@@ -108,8 +113,8 @@
 /// Returns the head of a request or an answer as bytes. Fields that frame the body are among
 /// \p fields.
 std::string requestHead(const std::string &method, const std::string &target,
-                        const runtime::HeaderFields &fields);
-std::string answerHead(int status, const std::string &reason, const runtime::HeaderFields &fields);
+                        const HeaderFields &fields);
+std::string answerHead(int status, const std::string &reason, const HeaderFields &fields);
 
 /// Returns the usual phrase of a status.
 std::string reasonOf(int status);
--- a/include/kumquathaven/runtime/http.h
+++ b/include/kumquathaven/runtime/http.h
@@ -3,20 +3,15 @@
 #ifndef KUMQUATHAVEN_RUNTIME_HTTP_H
 #define KUMQUATHAVEN_RUNTIME_HTTP_H
 
+#include "kumquathaven/http/fields.h"
+
 #include <string>
-#include <utility>
-#include <vector>
 
 namespace kumquathaven::runtime {
 
-/// Header fields in their order. Names are compared without regard to case.
-using HeaderFields = std::vector<std::pair<std::string, std::string>>;
-
-/// Returns the first value of a field, or an empty string.
-std::string headerValue(const HeaderFields &fields, const std::string &name);
-
-/// Returns whether two field names are the same without regard to case.
-bool sameFieldName(const std::string &a, const std::string &b);
+using http::HeaderFields;
+using http::headerValue;
+using http::sameFieldName;
 
 /// A request whose body was read whole.
 struct HttpRequest
--- a/include/kumquathaven/runtime/httpserver.h
+++ b/include/kumquathaven/runtime/httpserver.h
@@ -1,10 +1,12 @@
-// An HTTP server with bounded threads, bodies and waits.
+// An HTTP server with bounded threads, connections, memory and waits. A request takes a thread once
+// it was read whole.
 
 #ifndef KUMQUATHAVEN_RUNTIME_HTTPSERVER_H
 #define KUMQUATHAVEN_RUNTIME_HTTPSERVER_H
 
 #include "kumquathaven/base/result.h"
 #include "kumquathaven/base/time.h"
+#include "kumquathaven/budget/peerbudget.h"
 #include "kumquathaven/runtime/http.h"
 #include "kumquathaven/settings/settings.h"
 
@@ -44,13 +46,20 @@
 struct ServerBounds
 {
     std::uint32_t maxThreads = 16;
+    /// Requests that wait for a thread.
     std::uint32_t maxQueued = 64;
+    /// Further connections take the place of those that have waited longest.
+    std::uint32_t maxConnections = 256;
+    std::uint32_t maxHeaderBytes = 64 * 1024;
     std::uint32_t maxBodyBytes = 8 * 1024 * 1024;
     std::uint32_t maxHeaderFields = 64;
     /// Longest wait for the next byte of a request and between requests of a connection.
     Duration idle = std::chrono::seconds(30);
     /// Longest time from the first byte of a request to its last.
     Duration wholeRequest = std::chrono::seconds(30);
+    /// What the process holds for its peers. Empty: this server has a budget of its own, which fits
+    /// four whole bodies.
+    std::shared_ptr<budget::PeerBudget> budget;
 };
 
 /// A listening server. The destructor stops it.
--- a/include/kumquathaven/settings/settings.h
+++ b/include/kumquathaven/settings/settings.h
@@ -52,6 +52,8 @@
 {
     std::uint32_t maxStreams = 512;
     std::uint32_t maxBodyBytes = 8 * 1024 * 1024;
+    /// Memory that the process may use.
+    std::uint32_t memoryBytes = 1024U * 1024 * 1024;
     std::uint32_t maxHeaderFields = 64;
     Duration callerIdle = std::chrono::seconds(30);
     Duration upstreamConnect = std::chrono::seconds(2);
--- a/lib/control/controlrole.cpp
+++ b/lib/control/controlrole.cpp
@@ -14,6 +14,7 @@
 
 #include "kumquathaven/ledger/machine.h"
 #include "kumquathaven/runtime/httpserver.h"
+#include "kumquathaven/runtime/processbudget.h"
 #include "kumquathaven/runtime/supervisor.h"
 #include "kumquathaven/telemetry/log.h"
 #include "kumquathaven/telemetry/metrics.h"
@@ -106,6 +107,7 @@
     std::unique_ptr<OrderDuty> orderDuty;
     telemetry::Metrics metrics;
     std::unique_ptr<OperatorsContext> context;
+    std::shared_ptr<budget::PeerBudget> budget;
     std::unique_ptr<runtime::HttpServer> operators;
     std::unique_ptr<runtime::HttpServer> metricsServer;
     std::unique_ptr<DeclarationsContext> platformContext;
@@ -375,12 +377,16 @@
         groups.push_back(it.get());
     context = std::make_unique<OperatorsContext>(
         OperatorsContext{settings, machine, groups, *feed, *orderDuty, hub, metrics});
+    budget = runtime::processBudget(settings);
     runtime::ServerBounds bounds;
     bounds.maxThreads = operatorThreads;
     bounds.maxBodyBytes = settings.bounds.maxBodyBytes;
     bounds.maxHeaderFields = settings.bounds.maxHeaderFields;
+    bounds.maxConnections = runtime::operatorConnections(settings);
+    bounds.budget = budget;
     operators =
         std::make_unique<runtime::HttpServer>(bounds, [this](runtime::HttpExchange &exchange) {
+            runtime::reportBudget(*budget, metrics);
             handleOperator(*context, exchange);
         });
     BOOST_LEAF_CHECK(operators->start(settings.operators));
@@ -419,8 +425,11 @@
         return {};
     runtime::ServerBounds bounds;
     bounds.maxThreads = 1;
+    bounds.maxConnections = runtime::operatorConnections(settings);
+    bounds.budget = budget;
     metricsServer =
         std::make_unique<runtime::HttpServer>(bounds, [this](runtime::HttpExchange &exchange) {
+            runtime::reportBudget(*budget, metrics);
             if (exchange.request().path == "/metrics")
                 handleOperator(*context, exchange);
             else
--- a/lib/entry/entryrole.cpp
+++ b/lib/entry/entryrole.cpp
@@ -9,13 +9,16 @@
 #include "kumquathaven/base/walltime.h"
 #include "kumquathaven/feed/client.h"
 #include "kumquathaven/runtime/httpserver.h"
+#include "kumquathaven/runtime/processbudget.h"
 #include "kumquathaven/telemetry/log.h"
 #include "kumquathaven/wire/hub.h"
 #include "operatorserver.h"
 #include "runonce.h"
 
 #include <cstdlib>
+#include <memory>
 #include <thread>
+#include <utility>
 
 namespace kumquathaven::entry {
 
@@ -29,11 +32,16 @@
 // Callers measure the time an answer may be kept on clocks of their own.
 constexpr Duration keptAnswerMargin = std::chrono::milliseconds(500);
 
-runtime::ServerBounds callerBounds(const settings::Bounds &bounds)
+runtime::ServerBounds callerBounds(const settings::Settings &settings,
+                                   std::shared_ptr<budget::PeerBudget> budget)
 {
+    const settings::Bounds &bounds = settings.bounds;
     runtime::ServerBounds server;
     server.maxThreads = bounds.maxStreams + spareThreads;
     server.maxQueued = bounds.maxStreams;
+    server.maxConnections =
+        runtime::connectionsWithin(settings, 2 * bounds.maxStreams + spareThreads);
+    server.budget = std::move(budget);
     server.maxBodyBytes = bounds.maxBodyBytes;
     server.maxHeaderFields = bounds.maxHeaderFields;
     server.idle = bounds.callerIdle;
@@ -41,9 +49,12 @@
     return server;
 }
 
-runtime::ServerBounds operatorBounds()
+runtime::ServerBounds operatorBounds(const settings::Settings &settings,
+                                     std::shared_ptr<budget::PeerBudget> budget)
 {
     runtime::ServerBounds server;
+    server.maxConnections = runtime::operatorConnections(settings);
+    server.budget = std::move(budget);
     server.maxThreads = operatorThreads;
     return server;
 }
@@ -78,6 +89,7 @@
     FleetAnswers answers;
     FleetQuarantine quarantine;
     RunOnce runOnce;
+    const std::shared_ptr<budget::PeerBudget> budget;
     runtime::HttpServer callers;
     runtime::HttpServer operators;
     DutyTree duties;
@@ -96,12 +108,14 @@
                   [this](std::uint64_t number, const std::string &command) {
                       return feed.sendToLedger(number, command);
                   })
-        , callers(callerBounds(settings.bounds),
+        , budget(runtime::processBudget(settings))
+        , callers(callerBounds(settings, budget),
                   [this](runtime::HttpExchange &it) {
                       handleCaller(state, it);
                   })
-        , operators(operatorBounds(),
+        , operators(operatorBounds(settings, budget),
                     [this](runtime::HttpExchange &it) {
+                        runtime::reportBudget(*budget, state.metrics);
                         handleOperator(state, it);
                     })
         , duties(dutiesOf(), endAfterFailure)
--- a/lib/gateway/callerconnection.cpp
+++ b/lib/gateway/callerconnection.cpp
@@ -2,7 +2,9 @@
 
 #include "exchange.h"
 
-#include <algorithm>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+
 #include <utility>
 
 namespace kumquathaven::gateway {
@@ -32,6 +34,11 @@
                                                    : ErrorCode::InvalidRequest;
 }
 
+/// What a connection holds besides the bytes of its requests and answers.
+constexpr std::size_t connectionBytes = 4096;
+/// A caller that has not taken more of its answer than this may be ended to make room.
+constexpr std::size_t slowCallerBytes = std::size_t{16} * 1024;
+constexpr Duration noRoomRetryAfter = std::chrono::milliseconds(500);
 constexpr int statusHeadTooLarge = 431;
 constexpr int statusRequestTimeout = 408;
 
@@ -48,6 +55,15 @@
 {
     m_waitingSince = now;
     const std::weak_ptr<CallerConnection> weak = weak_from_this();
+    m_account = m_gateway.budget->open(
+        &m_gateway,
+        [&loop = m_gateway.loop, weak] {
+            boost::asio::dispatch(loop, [weak] {
+                if (const auto self = weak.lock())
+                    self->endForRoom();
+            });
+        },
+        now);
     http::ConnectionEvents events;
     events.received = [weak](std::string_view bytes) {
         if (const auto self = weak.lock())
@@ -58,12 +74,81 @@
             self->ended();
     };
     events.drained = [weak] {
-        const auto self = weak.lock();
-        if (self && self->m_exchange)
-            self->m_exchange->callerDrained();
+        if (const auto self = weak.lock())
+            self->drained();
     };
     m_connection->setEvents(std::move(events));
     m_connection->startReading();
+    count();
+}
+
+/// Tells the budget what is held. The connection may be closed when this returns.
+void CallerConnection::count()
+{
+    const std::size_t bytes = connectionBytes + m_body.size() + m_pendingInput.size()
+        + m_pendingOutput.size() + m_connection->queuedBytes() + m_requestBytes + m_answerBytes
+        + (m_parser ? m_parser->heldBytes() : 0);
+    if (bytes != m_account.bytes() || m_parser)
+        m_account.set(bytes, monotonicNow());
+}
+
+void CallerConnection::setStage(budget::PeerStage stage)
+{
+    if (std::exchange(m_stage, stage) != stage)
+        m_account.setStage(stage, monotonicNow());
+}
+
+void CallerConnection::drained()
+{
+    if (m_exchange) {
+        setStage(budget::PeerStage::Served);
+        count();
+        m_exchange->callerDrained();
+    } else {
+        count();
+    }
+}
+
+void CallerConnection::holdsForAnswer(std::size_t bytes)
+{
+    m_answerBytes = bytes;
+    count();
+}
+
+void CallerConnection::endForRoom()
+{
+    const auto self = shared_from_this();
+    if (m_exchange) {
+        m_connection->reset();
+        ended();
+    } else if (!m_isClosed && m_parser && m_parser->hasHead()) {
+        m_keepsAlive = false;
+        m_isHeadRequest = false;
+        reply(m_gateway.dialect.requests.refuse({ErrorCode::Overloaded,
+                                                 "gateway.read",
+                                                 {},
+                                                 "this entry is out of room for requests",
+                                                 Outcome::NotRun,
+                                                 noRoomRetryAfter}));
+        release();
+    } else {
+        close();
+    }
+}
+
+/// Frees what is held for a connection that has ended.
+void CallerConnection::release()
+{
+    m_parser.reset();
+    std::string().swap(m_body);
+    std::string().swap(m_pendingInput);
+    std::string().swap(m_pendingOutput);
+    m_requestBytes = 0;
+    m_answerBytes = 0;
+    if (m_connection->queuedBytes() == 0)
+        m_account = {};
+    else
+        count();
 }
 
 void CallerConnection::received(std::string_view bytes)
@@ -74,6 +159,8 @@
         parse();
     else if (m_pendingInput.size() > maxPipelinedBytes)
         m_connection->pauseReading();
+    if (!m_isClosed)
+        count();
 }
 
 void CallerConnection::ended()
@@ -83,6 +170,7 @@
     const std::shared_ptr<Exchange> exchange = std::exchange(m_exchange, nullptr);
     if (exchange)
         exchange->callerDisconnected();
+    release();
 }
 
 void CallerConnection::parse()
@@ -95,6 +183,7 @@
             m_body.clear();
             m_hasSentContinue = false;
             m_waitingSince = now;
+            m_account.setStage(budget::PeerStage::Waiting, now);
         }
         m_lastInputAt = now;
         const http::ParseState state = m_parser->feed(std::exchange(m_pendingInput, {}), m_body);
@@ -126,6 +215,9 @@
     m_keepsAlive = head.keepsAlive;
     m_isHeadRequest = head.method == "HEAD";
     m_isVersion11 = head.isVersion11;
+    // The exchange keeps the body, and a copy of it is on its way to the server.
+    m_requestBytes = 2 * m_body.size();
+    setStage(budget::PeerStage::Served);
     m_exchange = std::make_shared<Exchange>(m_gateway, weak_from_this(), std::move(head),
                                             std::exchange(m_body, {}), monotonicNow());
     // The exchange may finish, and reset m_exchange, before start() returns.
@@ -208,6 +300,9 @@
         return;
     m_pendingOutput += m_isChunked ? http::chunk(bytes) : std::string(bytes);
     flush();
+    if (m_connection->queuedBytes() > slowCallerBytes)
+        setStage(budget::PeerStage::Waiting);
+    count();
 }
 
 void CallerConnection::flush()
@@ -233,6 +328,7 @@
     m_isClosed = true;
     m_exchange.reset();
     m_connection->reset();
+    release();
 }
 
 void CallerConnection::endAnswer()
@@ -240,12 +336,19 @@
     m_exchange.reset();
     m_isChunked = false;
     m_hasAnswerStarted = false;
+    m_requestBytes = 0;
+    m_answerBytes = 0;
+    m_waitingSince = monotonicNow();
+    setStage(budget::PeerStage::Waiting);
     if (!m_keepsAlive || m_gateway.leaving) {
         m_isClosed = true;
         m_connection->closeAfterWrites();
+        release();
         return;
     }
-    m_waitingSince = monotonicNow();
+    count();
+    if (m_isClosed)
+        return;
     m_connection->startReading();
     // A pipelined request may have arrived already. It is parsed from the event loop to avoid
     // recursion into the exchange that ends here.
@@ -265,11 +368,17 @@
 
 bool CallerConnection::checkTimeouts(TimePoint now)
 {
-    if (m_isClosed || !m_connection->isOpen())
-        return m_connection->isOpen();
+    if (!m_connection->isOpen())
+        return false;
     if (m_exchange)
         return true;
     const deployment::CallerLimits limits = limitsOf(m_gateway);
+    if (m_isClosed) {
+        // Its caller has not read the last answer.
+        if (now - m_waitingSince > limits.idleTimeout)
+            close();
+        return m_connection->isOpen();
+    }
     if (!m_parser) {
         if (now - m_waitingSince > limits.idleTimeout)
             close();
--- a/lib/gateway/callerconnection.h
+++ b/lib/gateway/callerconnection.h
@@ -40,6 +40,8 @@
     /// answer for a complete one.
     void abort();
 
+    /// Takes note of the bytes of an answer that are kept until it is complete.
+    void holdsForAnswer(std::size_t bytes);
     /// Returns the number of bytes that are queued because the caller has not received them yet.
     std::size_t queuedBytes() const { return m_connection->queuedBytes(); }
 
@@ -47,6 +49,12 @@
     /// arrive in time with an error. Returns whether the connection is still open.
     bool checkTimeouts(TimePoint now);
 
+    /// Ends the connection because the process needs what it holds: refuses a request that has not
+    /// arrived whole, and cuts an answer that its caller does not read.
+    void endForRoom();
+
+    bool isOpen() const { return m_connection->isOpen(); }
+
     /// Called shortly before this instance ends. Answers the current request with an error if its
     /// answer is not complete.
     void instanceEnds();
@@ -55,6 +63,7 @@
 
 private:
     void received(std::string_view bytes);
+    void drained();
     void ended();
     void parse();
     void handleRequest();
@@ -63,6 +72,9 @@
     runtime::HeaderFields framingFields(std::uint64_t length) const;
     void endAnswer();
     void flush();
+    void count();
+    void setStage(budget::PeerStage stage);
+    void release();
 
     Gateway &m_gateway;
     std::shared_ptr<http::Connection> m_connection;
@@ -73,6 +85,11 @@
     /// Output that is written together with the next part of the answer.
     std::string m_pendingOutput;
     std::shared_ptr<Exchange> m_exchange;
+    budget::Account m_account;
+    budget::PeerStage m_stage = budget::PeerStage::Waiting;
+    /// Bytes that the request that is being answered holds elsewhere.
+    std::size_t m_requestBytes = 0;
+    std::size_t m_answerBytes = 0;
     /// When reading of the current request started, or when the connection became idle.
     TimePoint m_waitingSince{};
     /// When input of the current request last arrived.
--- a/lib/gateway/exchangeanswer.cpp
+++ b/lib/gateway/exchangeanswer.cpp
@@ -125,7 +125,11 @@
     const bool isBuffered = !isStream() && !m_isHeadSent;
     if (isBuffered) {
         m_bufferedBody += bytes;
-        if (m_bufferedBody.size() <= maxBufferedBytes)
+        const auto caller = m_caller.lock();
+        const bool isWhole = m_bufferedBody.size() <= maxBufferedBytes;
+        if (caller)
+            caller->holdsForAnswer(isWhole ? m_bufferedBody.size() : 0);
+        if (isWhole)
             return;
         bytes = std::exchange(m_bufferedBody, {});
     }
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -1,5 +1,7 @@
 #include "gateway.h"
 
+#include "kumquathaven/runtime/processbudget.h"
+
 namespace kumquathaven::gateway {
 
 namespace {
@@ -60,6 +62,7 @@
     , dialect(d)
     , metrics(m)
     , limits(l)
+    , budget(runtime::processBudget(s))
     , quarantine(m)
     , endedServers(loop, m,
                    [this](const std::string &start, TimePoint at,
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -5,6 +5,7 @@
 #define KUMQUATHAVEN_LIB_GATEWAY_GATEWAY_H
 
 #include "endedservers.h"
+#include "kumquathaven/budget/peerbudget.h"
 #include "kumquathaven/deployment/dialect.h"
 #include "kumquathaven/deployment/plan.h"
 #include "kumquathaven/quarantine/quarantine.h"
@@ -97,6 +98,8 @@
     const deployment::Dialect &dialect;
     telemetry::Metrics &metrics;
     TokenLimits &limits;
+    /// What is held for callers, and for peers of the other servers of the process.
+    const std::shared_ptr<budget::PeerBudget> budget;
     boost::asio::io_context loop;
     /// Null until control has sent a declaration.
     std::shared_ptr<const PlanInForce> plan;
--- a/lib/gateway/gatewayrole.cpp
+++ b/lib/gateway/gatewayrole.cpp
@@ -11,6 +11,7 @@
 #include "kumquathaven/feed/client.h"
 #include "kumquathaven/quarantine/messages.h"
 #include "kumquathaven/runtime/httpserver.h"
+#include "kumquathaven/runtime/processbudget.h"
 #include "kumquathaven/runtime/supervisor.h"
 #include "kumquathaven/telemetry/log.h"
 #include "kumquathaven/wire/hub.h"
@@ -40,6 +41,16 @@
 constexpr Duration operatorWait = std::chrono::seconds(2);
 constexpr std::uint32_t probeThreads = 4;
 constexpr int exitAfterFailure = 1;
+
+runtime::ServerBounds probeBounds(const Gateway &gateway, std::uint32_t threads)
+{
+    runtime::ServerBounds bounds;
+    bounds.maxThreads = threads;
+    bounds.maxConnections = runtime::operatorConnections(gateway.settings);
+    bounds.budget = gateway.budget;
+    return bounds;
+}
+
 wire::HubOptions hubOptions(const settings::Settings &settings, std::uint64_t incarnation)
 {
     wire::HubOptions options;
@@ -108,11 +119,11 @@
     , peers(self, gateway, hub)
     , stores(gateway)
     , listener(gateway)
-    , probes({probeThreads},
+    , probes(probeBounds(gateway, probeThreads),
              [this](runtime::HttpExchange &it) {
                  answerProbe(it);
              })
-    , metricsServer({1},
+    , metricsServer(probeBounds(gateway, 1),
                     [this](runtime::HttpExchange &it) {
                         answerProbe(it);
                     })
@@ -227,6 +238,7 @@
     gauges.serversKnown.set(static_cast<double>(gateway.servers.known.size()));
     gauges.serversEjected.set(static_cast<double>(ejectedCount(gateway.servers)));
     gauges.requestsRunning.set(gateway.running);
+    runtime::reportBudget(*gateway.budget, gateway.metrics);
     gauges.logLinesDropped.set(static_cast<double>(telemetry::droppedLogLines()));
 }
 
--- a/lib/gateway/listener.cpp
+++ b/lib/gateway/listener.cpp
@@ -73,8 +73,8 @@
         boost::asio::ip::tcp::socket socket = m_acceptor.accept(ec);
         if (ec)
             return;
-        // The connection is closed at once, so that the caller turns to another entry.
-        if (m_connections.size() >= m_maxConnections)
+        // Without room the connection is closed at once, so that the caller turns to another entry.
+        if (m_connections.size() >= m_maxConnections && !makeRoom())
             continue;
         auto connection = std::make_shared<CallerConnection>(
             m_gateway, std::make_shared<http::Connection>(std::move(socket)));
@@ -83,6 +83,23 @@
     }
 }
 
+/// Forgets closed connections, or ends the one that has waited longest.
+bool Listener::makeRoom()
+{
+    forgetClosed();
+    if (m_connections.size() < m_maxConnections)
+        return true;
+    const bool isEnded = m_gateway.budget->replaceOne(&m_gateway);
+    forgetClosed();
+    return isEnded;
+}
+
+void Listener::forgetClosed()
+{
+    for (auto it = m_connections.begin(); it != m_connections.end();)
+        it = (*it)->isOpen() ? std::next(it) : m_connections.erase(it);
+}
+
 void Listener::checkTimeouts(TimePoint now)
 {
     for (auto it = m_connections.begin(); it != m_connections.end();)
--- a/lib/gateway/listener.h
+++ b/lib/gateway/listener.h
@@ -45,6 +45,8 @@
 private:
     void waitForCaller();
     void acceptAll(int most);
+    bool makeRoom();
+    void forgetClosed();
 
     Gateway &m_gateway;
     boost::asio::ip::tcp::acceptor m_acceptor;
--- a/lib/http/connection.cpp
+++ b/lib/http/connection.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t scratchBytes = std::size_t{64} * 1024;
 /// Reads before other connections get their turn.
 constexpr int readsPerTurn = 4;
+/// A queue with more than this is released once it was sent.
+constexpr std::size_t maxKeptCapacity = std::size_t{16} * 1024;
 
 /// All connections of a loop share one buffer, since none keeps bytes in it.
 std::vector<char> &scratch()
@@ -157,6 +159,8 @@
         m_sent += bytes;
         m_queued -= bytes;
     }
+    if (m_queue.capacity() > maxKeptCapacity)
+        std::string().swap(m_queue);
     m_queue.clear();
     m_sent = 0;
     if (m_closesAfterWrites)
--- a/lib/http/message.cpp
+++ b/lib/http/message.cpp
@@ -18,9 +18,6 @@
 using beast::error_code;
 using beast::string_view;
 
-/// A request with more fields than this is refused as too large.
-constexpr std::size_t maxFields = 256;
-
 std::string text(string_view view)
 {
     return {view.data(), view.size()};
@@ -34,6 +31,7 @@
     Head head;
     std::string *body = nullptr;
     bool hasHead = false;
+    std::size_t maxFields = 0;
 
 private:
     void on_request_impl(beast::http::verb, string_view method, string_view target, int version,
@@ -119,25 +117,29 @@
     return ParseState::Malformed;
 }
 
-/// Drives one of the two collectors over the bytes that wait.
+/// Drives one of the two collectors over bytes. Removes from them what was parsed.
 template <bool isRequest>
-ParseState advance(Collector<isRequest> &parser, std::string &waiting, std::string &body)
+ParseState advance(Collector<isRequest> &parser, std::string_view &bytes, std::string &body)
 {
     parser.body = &body;
     while (!parser.is_done()) {
         error_code ec;
-        const std::size_t taken = parser.put(boost::asio::buffer(waiting), ec);
-        waiting.erase(0, taken);
+        const std::size_t taken =
+            parser.put(boost::asio::const_buffer(bytes.data(), bytes.size()), ec);
+        bytes.remove_prefix(taken);
         if (ec == beast::http::error::need_more)
             return ParseState::Open;
         if (ec)
             return stateOf(ec);
-        if (waiting.empty() && !parser.is_done())
+        if (bytes.empty() && !parser.is_done())
             return ParseState::Open;
     }
     return ParseState::Done;
 }
 
+/// A buffer with more than this is released as soon as it is empty.
+constexpr std::size_t maxKeptCapacity = 4096;
+
 } // namespace
 
 struct MessageParser::Impl
@@ -158,6 +160,7 @@
         parser->eager(true);
         parser->header_limit(bounds.maxHeadBytes);
         parser->body_limit(bounds.maxBodyBytes);
+        parser->maxFields = bounds.maxFields;
     };
     if (side == MessageSide::Request) {
         m_impl->request = std::make_unique<Collector<true>>();
@@ -175,11 +178,23 @@
 ParseState MessageParser::feed(std::string_view bytes, std::string &body)
 {
     m_impl->hasBegun = m_impl->hasBegun || !bytes.empty();
-    m_impl->waiting.append(bytes);
-    if (m_impl->state != ParseState::Open || m_impl->waiting.empty())
+    if (m_impl->state != ParseState::Open || (bytes.empty() && m_impl->waiting.empty())) {
+        m_impl->waiting.append(bytes);
         return m_impl->state;
-    m_impl->state = m_impl->request ? advance(*m_impl->request, m_impl->waiting, body)
-                                    : advance(*m_impl->answer, m_impl->waiting, body);
+    }
+    // Most bytes are parsed where they are; only what has to wait is copied.
+    const bool isDirect = m_impl->waiting.empty();
+    if (!isDirect)
+        m_impl->waiting.append(bytes);
+    std::string_view rest = isDirect ? bytes : std::string_view(m_impl->waiting);
+    m_impl->state = m_impl->request ? advance(*m_impl->request, rest, body)
+                                    : advance(*m_impl->answer, rest, body);
+    if (isDirect)
+        m_impl->waiting.assign(rest);
+    else
+        m_impl->waiting.erase(0, m_impl->waiting.size() - rest.size());
+    if (m_impl->waiting.empty() && m_impl->waiting.capacity() > maxKeptCapacity)
+        std::string().swap(m_impl->waiting);
     // Only an unfinished head, the line before a chunk, or a trailer waits for more bytes.
     if (m_impl->state == ParseState::Open && m_impl->waiting.size() > m_impl->maxWaitingBytes)
         m_impl->state = hasHead() ? ParseState::Malformed : ParseState::HeadTooLarge;
@@ -222,6 +237,11 @@
     return m_impl->hasBegun;
 }
 
+std::size_t MessageParser::heldBytes() const
+{
+    return m_impl->waiting.capacity();
+}
+
 std::string MessageParser::takeRest()
 {
     return std::exchange(m_impl->waiting, {});
@@ -231,7 +251,7 @@
 {
     if (head.endsWithConnection)
         return BodyFrame::Connection;
-    const bool isChunked = !runtime::headerValue(head.fields, "Transfer-Encoding").empty();
+    const bool isChunked = !headerValue(head.fields, "Transfer-Encoding").empty();
     return isChunked ? BodyFrame::Chunks : BodyFrame::Length;
 }
 
@@ -242,7 +262,7 @@
 
 namespace {
 
-void appendFields(std::string &out, const runtime::HeaderFields &fields)
+void appendFields(std::string &out, const HeaderFields &fields)
 {
     for (const auto &it : fields)
         out.append(it.first).append(": ").append(it.second).append("\r\n");
@@ -252,14 +272,14 @@
 } // namespace
 
 std::string requestHead(const std::string &method, const std::string &target,
-                        const runtime::HeaderFields &fields)
+                        const HeaderFields &fields)
 {
     std::string out = method + " " + target + " HTTP/1.1\r\n";
     appendFields(out, fields);
     return out;
 }
 
-std::string answerHead(int status, const std::string &reason, const runtime::HeaderFields &fields)
+std::string answerHead(int status, const std::string &reason, const HeaderFields &fields)
 {
     std::string out = "HTTP/1.1 " + std::to_string(status) + " "
         + (reason.empty() ? reasonOf(status) : reason) + "\r\n";
--- a/lib/runtime/httpserver.cpp
+++ b/lib/runtime/httpserver.cpp
@@ -1,239 +1,267 @@
 #include "kumquathaven/runtime/httpserver.h"
 
-#include "connectionguard.h"
 #include "kumquathaven/telemetry/log.h"
-#include "pocoexchange.h"
+#include "serverexchange.h"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServer.h>
-#include <Poco/Net/HTTPServerRequestImpl.h>
-#include <Poco/Net/HTTPServerResponse.h>
-#include <Poco/Net/ServerSocket.h>
+#include <Poco/RunnableAdapter.h>
 #include <Poco/ThreadPool.h>
-
-#include <atomic>
-#include <mutex>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <condition_variable>
+#include <deque>
+#include <iterator>
+#include <set>
 #include <thread>
 
 namespace kumquathaven::runtime {
 
 namespace {
 
-namespace net = Poco::Net;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
 
 constexpr int threadStackBytes = 512 * 1024;
+constexpr int threadIdleSeconds = 60;
 constexpr int listenBacklog = 256;
+constexpr int acceptsPerTurn = 32;
 constexpr Duration drainPollInterval = std::chrono::milliseconds(20);
-constexpr Duration stoppedRetryAfter = std::chrono::seconds(1);
+constexpr Duration checkInterval = std::chrono::milliseconds(250);
+constexpr std::size_t bodiesOfOwnBudget = 4;
+constexpr std::size_t minOwnBudget = std::size_t{4} * 1024 * 1024;
 
-Poco::Timespan timespan(Duration d)
+/// Calls the handler. An exception of it becomes an error answer, or cuts the answer that began.
+void serve(ServerCore &core, ServerPeer &peer)
 {
-    return {static_cast<Poco::Timespan::TimeDiff>(d.count())};
+    ServerExchange exchange(peer, !core.isStopping);
+    std::string reason;
+    try {
+        core.handler(exchange);
+        exchange.finish();
+        return;
+    } catch (const std::exception &e) {
+        reason = e.what();
+    } catch (...) {
+        reason = "exception of an unknown type";
+    }
+    telemetry::logLine(telemetry::LogLevel::Error, "http", "request handler failed",
+                       {{"reason", reason}, {"path", exchange.request().path}});
+    if (exchange.hasReplied())
+        exchange.abandon();
+    else
+        exchange.reply(errorReply({ErrorCode::Internal,
+                                   "http.handle",
+                                   {},
+                                   "the request failed inside the instance",
+                                   Outcome::Unknown,
+                                   {}}));
+    exchange.finish();
 }
 
-// Counts the requests that are being answered. No request passes once it is closed, so that a
-// server that found none running can end its connections without cutting an answer.
-class RequestGate
+} // namespace
+
+bool RequestGate::enter()
 {
-public:
-    // Returns whether the request may be answered. If so, leave() must follow.
-    bool enter()
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        m_active += m_isClosed ? 0 : 1;
-        return !m_isClosed;
-    }
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_active += m_isClosed ? 0 : 1;
+    return !m_isClosed;
+}
 
-    void leave()
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        --m_active;
-    }
+void RequestGate::leave()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    --m_active;
+}
 
-    // Closes the gate if no request is being answered. Returns whether it is closed.
-    bool closeIfIdle()
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        m_isClosed = m_isClosed || m_active == 0;
-        return m_isClosed;
-    }
+bool RequestGate::closeIfIdle()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_isClosed = m_isClosed || m_active == 0;
+    return m_isClosed;
+}
 
-    void close()
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        m_isClosed = true;
-    }
+void RequestGate::close()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_isClosed = true;
+}
 
-    std::uint32_t active() const
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        return m_active;
-    }
+std::uint32_t RequestGate::active() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_active;
+}
 
-private:
-    mutable std::mutex m_mutex;
-    std::uint32_t m_active = 0;
-    bool m_isClosed = false;
+struct HttpServer::Impl
+{
+    Impl(ServerBounds bounds, HttpHandler handler);
+
+    void listen(const settings::Address &address, error_code &ec);
+    void waitForCaller();
+    void acceptAll(int most);
+    void scheduleCheck();
+    bool dispatch(const std::shared_ptr<ServerPeer> &peer);
+    bool withdraw(const std::shared_ptr<ServerPeer> &peer);
+    void work();
+    void cutAll();
+
+    ServerCore core;
+    tcp::acceptor acceptor{core.loop};
+    boost::asio::steady_timer timer{core.loop};
+    /// Used on the loop's thread only.
+    std::set<std::shared_ptr<ServerPeer>> peers;
+    std::thread loopThread;
+    std::unique_ptr<Poco::ThreadPool> threads;
+    Poco::RunnableAdapter<Impl> worker{*this, &Impl::work};
+    std::mutex mutex;
+    std::condition_variable hasWork;
+    std::deque<std::shared_ptr<ServerPeer>> waiting;
+    std::uint32_t running = 0;
+    std::uint32_t idle = 0;
+    bool ends = false;
 };
 
-// Everything that the threads of one server share.
-struct Shared
+HttpServer::Impl::Impl(ServerBounds bounds, HttpHandler handler)
 {
-    ServerBounds bounds;
-    HttpHandler handler;
-    ConnectionGuard guard;
-    RequestGate gate;
-    // Set while the server stops: each connection then ends with its next answer.
-    std::atomic<bool> isStopping{false};
-
-    Shared(ServerBounds b, HttpHandler h)
-        : bounds(b)
-        , handler(std::move(h))
-        , guard(bounds.wholeRequest)
-    { }
-};
+    core.bounds = std::move(bounds);
+    core.handler = std::move(handler);
+    if (!core.bounds.budget)
+        core.bounds.budget = std::make_shared<budget::PeerBudget>(
+            std::max(minOwnBudget, bodiesOfOwnBudget * std::size_t{core.bounds.maxBodyBytes}));
+    core.dispatch = [this](const std::shared_ptr<ServerPeer> &it) {
+        return dispatch(it);
+    };
+    core.withdraw = [this](const std::shared_ptr<ServerPeer> &it) {
+        return withdraw(it);
+    };
+    core.forget = [this](const std::shared_ptr<ServerPeer> &it) {
+        // The set may be the one that is walked through just now.
+        boost::asio::post(core.loop, [this, it] {
+            peers.erase(it);
+        });
+    };
+}
 
-class Handler : public net::HTTPRequestHandler
+void HttpServer::Impl::listen(const settings::Address &address, error_code &ec)
 {
-public:
-    explicit Handler(Shared &shared)
-        : m_shared(shared)
-    { }
+    const auto host = boost::asio::ip::make_address(address.host, ec);
+    const tcp::endpoint endpoint(host, address.port);
+    if (!ec)
+        acceptor.open(endpoint.protocol(), ec);
+    if (!ec)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+    if (!ec)
+        acceptor.bind(endpoint, ec);
+    if (!ec)
+        acceptor.listen(listenBacklog, ec);
+    if (!ec)
+        acceptor.non_blocking(true, ec);
+}
 
-    void handleRequest(net::HTTPServerRequest &request, net::HTTPServerResponse &response) override
-    {
-        if (m_shared.isStopping)
-            response.setKeepAlive(false);
-        if (m_shared.gate.enter()) {
-            answer(static_cast<net::HTTPServerRequestImpl &>(request), response);
-            m_shared.gate.leave();
-        } else {
-            refuse(static_cast<net::HTTPServerRequestImpl &>(request), response);
-        }
-        waitForNext(static_cast<net::HTTPServerRequestImpl &>(request), response);
-    }
+void HttpServer::Impl::waitForCaller()
+{
+    acceptor.async_wait(tcp::acceptor::wait_read, [this](const error_code &ec) {
+        if (ec)
+            return;
+        acceptAll(acceptsPerTurn);
+        waitForCaller();
+    });
+}
 
-private:
-    // A connection that ends after its answer must not be held open by the guard.
-    void waitForNext(net::HTTPServerRequestImpl &request, const net::HTTPServerResponse &response)
-    {
-        if (!response.getKeepAlive() || !request.getKeepAlive())
+/// Accepts the connections that wait, at most \p most.
+void HttpServer::Impl::acceptAll(int most)
+{
+    for (int n = 0; n < most; ++n) {
+        error_code ec;
+        tcp::socket socket = acceptor.accept(ec);
+        if (ec)
             return;
-        try {
-            m_shared.guard.waiting(request.socket());
-        } catch (const Poco::Exception &) {
-            // The caller has closed the connection: there is nothing to guard.
-        }
+        if (peers.size() >= core.bounds.maxConnections && !core.bounds.budget->replaceOne(&core))
+            continue;
+        const auto peer = std::make_shared<ServerPeer>(core, std::move(socket));
+        peers.insert(peer);
+        peer->start(monotonicNow());
     }
+}
 
-    // Answers a request that arrives when the server has stopped.
-    void refuse(net::HTTPServerRequestImpl &request, net::HTTPServerResponse &response)
-    {
-        PocoExchange exchange(request, response);
-        try {
-            if (const auto error = exchange.readBody(m_shared.bounds)) {
-                exchange.reply(errorReply(*error));
-                return;
-            }
-            exchange.reply(errorReply({ErrorCode::Unavailable,
-                                       "http.accept",
-                                       {},
-                                       "the instance ends",
-                                       Outcome::NotRun,
-                                       stoppedRetryAfter}));
-        } catch (const Poco::Exception &) {
-            // The caller has closed the connection.
-        }
-    }
+void HttpServer::Impl::scheduleCheck()
+{
+    timer.expires_after(checkInterval);
+    timer.async_wait([this](const error_code &ec) {
+        if (ec)
+            return;
+        const TimePoint now = monotonicNow();
+        for (const auto &it : peers)
+            it->checkTimeouts(now);
+        scheduleCheck();
+    });
+}
 
-    void answer(net::HTTPServerRequestImpl &request, net::HTTPServerResponse &response)
-    {
-        PocoExchange exchange(request, response);
-        std::string reason = "unknown exception";
+bool HttpServer::Impl::dispatch(const std::shared_ptr<ServerPeer> &peer)
+{
+    const std::lock_guard<std::mutex> lock(mutex);
+    if (ends || waiting.size() >= core.bounds.maxQueued)
+        return false;
+    waiting.push_back(peer);
+    if (waiting.size() > idle && running < core.bounds.maxThreads) {
         try {
-            if (const auto error = exchange.readBody(m_shared.bounds)) {
-                exchange.reply(errorReply(*error));
-                return;
+            threads->start(worker);
+            ++running;
+        } catch (const Poco::Exception &) {
+            // The threads that run take the request in their turn.
+            if (running == 0) {
+                waiting.pop_back();
+                return false;
             }
-            m_shared.handler(exchange);
-            return;
-        } catch (const std::exception &e) {
-            reason = e.what();
-        } catch (...) {
-            reason = "exception of an unknown type";
         }
-        telemetry::logLine(telemetry::LogLevel::Error, "http", "request handler failed",
-                           {{"reason", reason}, {"path", exchange.request().path}});
-        if (!exchange.hasReplied())
-            exchange.reply(errorReply({ErrorCode::Internal,
-                                       "http.handle",
-                                       {},
-                                       "the request failed inside the instance",
-                                       Outcome::Unknown,
-                                       {}}));
-        exchange.abandon();
     }
+    hasWork.notify_one();
+    return true;
+}
 
-    Shared &m_shared;
-};
-
-class Factory : public net::HTTPRequestHandlerFactory
+bool HttpServer::Impl::withdraw(const std::shared_ptr<ServerPeer> &peer)
 {
-public:
-    explicit Factory(Shared &shared)
-        : m_shared(shared)
-    { }
-
-    net::HTTPRequestHandler *createRequestHandler(const net::HTTPServerRequest &request) override
-    {
-        m_shared.guard.arrived(request.clientAddress().toString());
-        return new Handler(m_shared);
-    }
-
-private:
-    Shared &m_shared;
-};
+    const std::lock_guard<std::mutex> lock(mutex);
+    const auto found = std::find(waiting.begin(), waiting.end(), peer);
+    if (found == waiting.end())
+        return false;
+    waiting.erase(found);
+    return true;
+}
 
-class AcceptHook : public net::TCPServerConnectionFilter
+void HttpServer::Impl::work()
 {
-public:
-    explicit AcceptHook(Shared &shared)
-        : m_shared(shared)
-    { }
-
-    bool accept(const net::StreamSocket &socket) override
-    {
-        try {
-            net::StreamSocket copy(socket);
-            copy.setNoDelay(true);
-            m_shared.guard.waiting(copy);
-        } catch (const Poco::Exception &) {
-            return false;
+    std::unique_lock<std::mutex> lock(mutex);
+    while (true) {
+        ++idle;
+        hasWork.wait_for(lock, std::chrono::seconds(threadIdleSeconds), [this] {
+            return ends || !waiting.empty();
+        });
+        --idle;
+        if (waiting.empty()) {
+            --running;
+            return;
         }
-        return true;
+        const std::shared_ptr<ServerPeer> peer = waiting.front();
+        waiting.pop_front();
+        lock.unlock();
+        peer->begin(monotonicNow());
+        serve(core, *peer);
+        lock.lock();
     }
+}
 
-private:
-    Shared &m_shared;
-};
-
-} // namespace
-
-struct HttpServer::Impl
+void HttpServer::Impl::cutAll()
 {
-    Shared shared;
-    std::unique_ptr<Poco::ThreadPool> threads;
-    std::unique_ptr<net::HTTPServer> server;
-
-    Impl(ServerBounds bounds, HttpHandler handler)
-        : shared(bounds, std::move(handler))
-    { }
-};
+    for (const auto &it : peers)
+        it->cut();
+}
 
 HttpServer::HttpServer(ServerBounds bounds, HttpHandler handler)
-    : m_impl(std::make_unique<Impl>(bounds, std::move(handler)))
+    : m_impl(std::make_unique<Impl>(std::move(bounds), std::move(handler)))
 { }
 
 HttpServer::~HttpServer()
@@ -243,54 +271,61 @@
 
 Result<void> HttpServer::start(const settings::Address &address)
 {
-    const ServerBounds &bounds = m_impl->shared.bounds;
-    try {
-        const net::SocketAddress local(address.host, address.port);
-        net::ServerSocket socket;
-        socket.bind(local, true);
-        socket.listen(listenBacklog);
-        auto params = Poco::AutoPtr<net::HTTPServerParams>(new net::HTTPServerParams);
-        params->setMaxThreads(static_cast<int>(bounds.maxThreads));
-        params->setMaxQueued(static_cast<int>(bounds.maxQueued));
-        params->setTimeout(timespan(bounds.idle));
-        params->setKeepAlive(true);
-        params->setKeepAliveTimeout(timespan(bounds.idle));
-        constexpr int threadIdleSeconds = 60;
-        m_impl->threads = std::make_unique<Poco::ThreadPool>(
-            2, static_cast<int>(bounds.maxThreads) + 2, threadIdleSeconds, threadStackBytes);
-        m_impl->server = std::make_unique<net::HTTPServer>(new Factory(m_impl->shared),
-                                                           *m_impl->threads, socket, params);
-        m_impl->server->setConnectionFilter(new AcceptHook(m_impl->shared));
-        m_impl->server->start();
-    } catch (const Poco::Exception &e) {
+    error_code ec;
+    m_impl->listen(address, ec);
+    if (ec)
         return fail({ErrorCode::Unavailable,
                      "http.listen",
                      settings::toString(address),
-                     e.displayText(),
+                     ec.message(),
                      Outcome::NotRun,
                      {}});
-    }
+    m_impl->threads =
+        std::make_unique<Poco::ThreadPool>(2, static_cast<int>(m_impl->core.bounds.maxThreads) + 2,
+                                           threadIdleSeconds, threadStackBytes);
+    m_impl->waitForCaller();
+    m_impl->scheduleCheck();
+    m_impl->loopThread = std::thread([impl = m_impl.get()] {
+        const auto guard = boost::asio::make_work_guard(impl->core.loop);
+        impl->core.loop.run();
+    });
     return {};
 }
 
 void HttpServer::stop(Duration drain)
 {
-    if (!m_impl->server)
+    Impl &impl = *m_impl;
+    if (!impl.loopThread.joinable())
         return;
-    m_impl->shared.isStopping = true;
-    m_impl->server->stop();
+    impl.core.isStopping = true;
+    boost::asio::post(impl.core.loop, [&impl] {
+        // Connections that wait may have sent a request already.
+        impl.acceptAll(listenBacklog);
+        error_code ec;
+        impl.acceptor.close(ec);
+    });
     const TimePoint deadline = monotonicNow() + drain;
-    while (!m_impl->shared.gate.closeIfIdle() && monotonicNow() < deadline)
+    while (!impl.core.gate.closeIfIdle() && monotonicNow() < deadline)
         std::this_thread::sleep_for(drainPollInterval);
-    m_impl->shared.gate.close();
-    m_impl->server->stopAll(true);
-    m_impl->threads->joinAll();
-    m_impl->server.reset();
+    impl.core.gate.close();
+    boost::asio::post(impl.core.loop, [&impl] {
+        impl.cutAll();
+    });
+    {
+        const std::lock_guard<std::mutex> lock(impl.mutex);
+        impl.ends = true;
+    }
+    impl.hasWork.notify_all();
+    impl.threads->joinAll();
+    impl.core.loop.stop();
+    impl.loopThread.join();
+    impl.peers.clear();
+    impl.threads.reset();
 }
 
 std::uint32_t HttpServer::activeRequests() const
 {
-    return m_impl->shared.gate.active();
+    return m_impl->core.gate.active();
 }
 
 } // namespace kumquathaven::runtime
--- /dev/null
+++ b/lib/runtime/processbudget.cpp
@@ -0,0 +1,65 @@
+#include "kumquathaven/runtime/processbudget.h"
+
+#include <algorithm>
+
+#include <sys/resource.h>
+
+namespace kumquathaven::runtime {
+
+namespace {
+
+constexpr double megabyte = 1000.0 * 1000.0;
+/// Each of the servers for operators, probes and metrics gets this part of the descriptors.
+constexpr std::uint32_t operatorsPart = 8;
+constexpr std::uint32_t minConnections = 8;
+constexpr std::uint32_t maxOperatorConnections = 512;
+
+std::uint32_t descriptorsOf(const settings::Settings &settings)
+{
+    if (settings.platform)
+        return settings.platform->maxDescriptors;
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+        return settings::Platform().maxDescriptors;
+    constexpr rlim_t most = 1024 * 1024;
+    return static_cast<std::uint32_t>(std::min(limit.rlim_cur, most));
+}
+
+} // namespace
+
+std::shared_ptr<budget::PeerBudget> processBudget(const settings::Settings &settings)
+{
+    const double bytes = settings.platform ? settings.platform->memoryMb * megabyte
+                                           : static_cast<double>(settings.bounds.memoryBytes);
+    return std::make_shared<budget::PeerBudget>(budget::bytesForPeers(bytes));
+}
+
+std::uint32_t operatorConnections(const settings::Settings &settings)
+{
+    return std::clamp(descriptorsOf(settings) / operatorsPart, minConnections,
+                      maxOperatorConnections);
+}
+
+std::uint32_t connectionsWithin(const settings::Settings &settings, std::uint32_t wanted)
+{
+    return std::max(minConnections, std::min(wanted, descriptorsOf(settings) / 2));
+}
+
+void reportBudget(const budget::PeerBudget &budget, telemetry::Metrics &metrics)
+{
+    metrics.gauge("kumquathaven_peer_bytes", "bytes that are held for peers")
+        .set(static_cast<double>(budget.heldBytes()));
+    metrics.gauge("kumquathaven_peer_bytes_max", "bytes that all peers together may hold")
+        .set(static_cast<double>(budget.maxBytes()));
+    const auto ended = [&metrics](const char *reason, std::uint64_t number) {
+        metrics
+            .gauge("kumquathaven_peers_ended",
+                   "connections that were ended to make room, since the start",
+                   {{"reason", reason}})
+            .set(static_cast<double>(number));
+    };
+    ended("memory", budget.endedForMemory());
+    ended("connections", budget.endedForConnections());
+}
+
+} // namespace kumquathaven::runtime
--- a/lib/settings/settings.cpp
+++ b/lib/settings/settings.cpp
@@ -4,6 +4,7 @@
 #include "reader.h"
 
 #include <arpa/inet.h>
+#include <limits>
 
 #include <array>
 #include <charconv>
@@ -100,6 +101,9 @@
     reader.finish();
 }
 
+constexpr std::uint32_t minMemoryBytes = 32U * 1024 * 1024;
+constexpr std::uint32_t maxMemoryBytes = std::numeric_limits<std::uint32_t>::max();
+
 void readBounds(MapReader &top, Bounds &bounds, Problems &problems)
 {
     using std::chrono::milliseconds;
@@ -110,6 +114,7 @@
     MapReader reader(node, "bounds", problems);
     reader.integer("maxStreams", bounds.maxStreams, 1, 4096);
     reader.bytes("maxBody", bounds.maxBodyBytes, 1024, 64 * 1024 * 1024);
+    reader.bytes("memory", bounds.memoryBytes, minMemoryBytes, maxMemoryBytes);
     reader.integer("maxHeaderFields", bounds.maxHeaderFields, 8, 1000);
     reader.duration("callerIdle", bounds.callerIdle, seconds(1), seconds(600));
     reader.duration("upstreamConnect", bounds.upstreamConnect, milliseconds(10), seconds(60));
--- a/tools/kumquathavend/main.cpp
+++ b/tools/kumquathavend/main.cpp
@@ -1,5 +1,6 @@
 // The daemon: reads its settings and runs the role they name until it is told to end.
 
+#include "kumquathaven/budget/peerbudget.h"
 #include "kumquathaven/control/controlrole.h"
 #include "kumquathaven/entry/entryrole.h"
 #include "kumquathaven/gateway/gatewayrole.h"
@@ -163,5 +164,6 @@
     // Settings are read at the start; a platform tells of other seeds by this signal, which running
     // processes learn from control as well.
     std::signal(SIGHUP, SIG_IGN);
+    budget::returnMemoryEarly();
     return run(*arguments);
 }
--- a/unittests/http/messagetest.cpp
+++ b/unittests/http/messagetest.cpp
@@ -78,7 +78,7 @@
                       body)
           == ParseState::Done);
     CHECK(body == "abcde");
-    CHECK(runtime::headerValue(parser.head().fields, "X-Late").empty());
+    CHECK(headerValue(parser.head().fields, "X-Late").empty());
 }
 
 TEST_CASE("an answer without a length ends with its connection")
--- a/unittests/runtime/httptest.cpp
+++ b/unittests/runtime/httptest.cpp
@@ -315,3 +315,35 @@
     CHECK(handled > 12);
     CHECK(answered == handled);
 }
+
+TEST_CASE("callers that read no answers give way to one that does")
+{
+    ServerBounds bounds = smallBounds();
+    bounds.maxThreads = 1;
+    bounds.maxConnections = 4;
+    bounds.idle = bounds.wholeRequest = std::chrono::seconds(30);
+    const settings::Address address = freeAddress();
+    HttpServer server(bounds, [](HttpExchange &exchange) {
+        exchange.reply({200, "text/plain", {}, std::string(100000, 'x')});
+    });
+    REQUIRE(server.start(address));
+    std::string requests;
+    for (int n = 0; n < 200; ++n)
+        requests += "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    std::vector<Poco::Net::StreamSocket> crowd;
+    for (int n = 0; n < 8; ++n) {
+        Poco::Net::StreamSocket socket;
+        socket.connect(Poco::Net::SocketAddress(address.host, address.port));
+        socket.sendBytes(requests.data(), static_cast<int>(requests.size()));
+        crowd.push_back(socket);
+    }
+    const int status = orElse(
+        [&]() -> Result<int> {
+            BOOST_LEAF_AUTO(reply, fetch(address, "GET", "/", {}, "", {}, 200000));
+            return reply.status;
+        },
+        [](const Error &) {
+            return 0;
+        });
+    CHECK(status == 200);
+}
