Releases: a rollout completes although one of several instances has ended

Cause: an entry that ended stays announced until it is declared dead; the sums of small deployments then cover less than 95% of the instances until the time limit (system.rollouts_entry). Change: one instance may be missing where most are counted; the full share then lasts twice as long before the rollout is complete.

--- a/lib/release/release.cpp
+++ b/lib/release/release.cpp
@@ -33,6 +33,8 @@
 constexpr Duration maxEvidenceAge = std::chrono::seconds(5);
 constexpr double minCapacity = 0.75;
 constexpr double enoughAnswers = 200;
+/// How many times longer the full share lasts before a rollout completes without all instances.
+constexpr int missingDwells = 2;
 
 std::uint32_t unprovenShare(const Policy &policy)
 {
@@ -52,10 +54,17 @@
                                 std::chrono::seconds(30));
 }
 
+/// Instances that are announced as serving and whose counts are missing. One that has ended stays
+/// announced until it is declared dead.
+std::uint32_t missingInstances(const Evidence &evidence)
+{
+    return evidence.instancesServing - std::min(evidence.instances, evidence.instancesServing);
+}
+
 bool coversInstances(const Evidence &evidence)
 {
-    return evidence.instances > 0
-        && std::uint64_t{evidence.instances} * 20 >= std::uint64_t{evidence.instancesServing} * 19;
+    const bool isMajority = std::uint64_t{evidence.instances} * 2 > evidence.instancesServing;
+    return isMajority && missingInstances(evidence) <= std::max(1U, evidence.instancesServing / 20);
 }
 
 void add(Counts &to, const Counts &from)
@@ -254,6 +263,11 @@
             return {Action::RollBack, 0, std::move(inDoubt)};
     }
     const bool isAll = progress.sharePerMille >= 1000;
+    // What a missing instance still runs at the present release is not known; it may run on.
+    const bool mayLackRequests = missingInstances(evidence) > 0
+        && progress.inStep < missingDwells * dwellTime(progress.limit);
+    if (isAll && hold.empty() && mayLackRequests)
+        hold = std::to_string(missingInstances(evidence)) + " instances are missing";
     if (isAll && hold.empty()) {
         if (evidence.runningAtPresent == 0)
             return {Action::Complete, 1000, "no fault, nothing runs at the present release"};
--- a/unittests/release/releasetest.cpp
+++ b/unittests/release/releasetest.cpp
@@ -115,6 +115,18 @@
              it.evidence.instances = 28;
          },
          Action::Hold, 50, "counts of 28 of 30"},
+        {"one of three instances has ended",
+         [](State &it) {
+             it.evidence.instances = 2;
+             it.evidence.instancesServing = 3;
+         },
+         Action::Advance, 250, "no fault"},
+        {"one of two instances is not counted",
+         [](State &it) {
+             it.evidence.instances = 1;
+             it.evidence.instancesServing = 2;
+         },
+         Action::Hold, 50, "counts of 1 of 2"},
         {"old counts",
          [](State &it) {
              it.age = seconds(6);
@@ -167,6 +179,20 @@
              it.evidence.runningAtPresent = 0;
          },
          Action::Complete, 1000, "nothing runs"},
+        {"all moved, one instance has just ended",
+         [](State &it) {
+             it.progress = {4, 1000, seconds(17), seconds(20), milliseconds(1'900)};
+             it.evidence.runningAtPresent = 0;
+             it.evidence.instances = 29;
+         },
+         Action::Hold, 1000, "1 instances are missing"},
+        {"all moved, one instance has ended",
+         [](State &it) {
+             it.progress = {4, 1000, seconds(17), seconds(20), seconds(2)};
+             it.evidence.runningAtPresent = 0;
+             it.evidence.instances = 29;
+         },
+         Action::Complete, 1000, "nothing runs"},
         {"all moved",
          [](State &it) {
              it.progress = {4, 1000, seconds(17), seconds(20), seconds(2)};
