--- a/include/kumquathaven/release/release.h
+++ b/include/kumquathaven/release/release.h
@@ -131,8 +131,9 @@
     std::string reason;
 };
 
-/// Decides the next step. \p evidence may be old or lack instances; then nothing advances, but a
-/// release that it shows to be bad is rolled back. \p evidenceAge is the time since it was counted.
+/// Decides the next step. \p evidence may be old or lack instances; then nothing advances beyond
+/// the first share, but a release that it shows to be bad is rolled back. \p evidenceAge is the
+/// time since it was counted.
 Decision decide(const Progress &progress, const Evidence &evidence, Duration evidenceAge,
                 const Supply &supply, const Policy &policy);
 
