--- a/lib/control/controlrole.cpp
+++ b/lib/control/controlrole.cpp
@@ -88,7 +88,7 @@
     void addDuties();
     void supervise();
     Result<void> start();
-    Result<void> startPlatformServers(runtime::ServerBounds bounds);
+    Result<void> startPlatformServers(const runtime::ServerBounds &bounds);
     Result<void> startMetricsServer();
     void stop();
 
@@ -400,7 +400,7 @@
     return {};
 }
 
-Result<void> ControlRole::Impl::startPlatformServers(runtime::ServerBounds bounds)
+Result<void> ControlRole::Impl::startPlatformServers(const runtime::ServerBounds &bounds)
 {
     platformContext = std::make_unique<DeclarationsContext>(
         DeclarationsContext{settings, *dialect, machine, *logs.front()});
--- a/lib/runtime/processbudget.cpp
+++ b/lib/runtime/processbudget.cpp
@@ -21,7 +21,7 @@
     rlimit limit{};
     if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
         return settings::Platform().maxDescriptors;
-    constexpr rlim_t most = 1024 * 1024;
+    constexpr rlim_t most = 1048576;
     return static_cast<std::uint32_t>(std::min(limit.rlim_cur, most));
 }
 
