Entry: a reset while a request is being sent is no orderly end

Cause: a write that fails after a reset takes the socket's error with it, and the next read returns the end of the connection. Change: after a failed write the end of a connection is a failure; what arrived before is read first.

--- a/include/kumquathaven/http/connection.h
+++ b/include/kumquathaven/http/connection.h
@@ -89,6 +89,7 @@
     bool m_reads = false;
     bool m_isWaitingToRead = false;
     bool m_isWaitingToWrite = false;
+    bool m_hasWriteFailed = false;
     bool m_closesAfterWrites = false;
     std::string m_queue;
     std::size_t m_sent = 0;
--- a/lib/http/connection.cpp
+++ b/lib/http/connection.cpp
@@ -109,7 +109,8 @@
         if (wouldBlock(ec))
             break;
         if (ec) {
-            end(ec == boost::asio::error::eof ? ConnectionEnd::Closed : ConnectionEnd::Failed);
+            const bool isOrderly = ec == boost::asio::error::eof && !m_hasWriteFailed;
+            end(isOrderly ? ConnectionEnd::Closed : ConnectionEnd::Failed);
             return;
         }
         const auto received = m_events.received;
@@ -148,8 +149,14 @@
             return;
         }
         if (ec) {
-            // The reader of the connection is told; a writer may be in the middle of its work.
+            // A failed write takes the error of a reset with it: the next read would see an orderly
+            // end.
+            m_hasWriteFailed = true;
+            // The reader of the connection is told; a writer may be in the middle of its work. What
+            // arrived before the failure may be a whole answer.
             boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+                if (self->m_isOpen && self->m_reads)
+                    self->readAvailable();
                 self->end(ConnectionEnd::Failed);
             });
             m_queue.clear();
