Entry: a number that is no status is no answer

Cause: the parser took any three digits for a status: 600 and 999 reached callers on the platform's interface (000, 099 and 101 were skipped as interim answers). The native client took 000, 099, 101, 102, 600 and 999 for answers. Change: both accept 100 to 599 alone; 101 is malformed, and any interim answer but 100 an error of the native client.

--- a/include/kumquathaven/http/message.h
+++ b/include/kumquathaven/http/message.h
@@ -116,6 +116,9 @@
                         const HeaderFields &fields);
 std::string answerHead(int status, const std::string &reason, const HeaderFields &fields);
 
+/// Returns whether a number is a status of HTTP: from 100 to 599.
+bool isStatus(int number);
+
 /// Returns the usual phrase of a status.
 std::string reasonOf(int status);
 
--- a/lib/http/message.cpp
+++ b/lib/http/message.cpp
@@ -23,6 +23,8 @@
     return {view.data(), view.size()};
 }
 
+constexpr int statusSwitchingProtocols = 101;
+
 /// Collects what the library's parser reports.
 template <bool isRequest>
 class Collector : public beast::http::basic_parser<isRequest>
@@ -44,9 +46,13 @@
 
     void on_response_impl(int code, string_view reason, int version, error_code &ec) override
     {
+        // An upgrade is never asked for, and nothing behind its answer is HTTP.
+        if (!isStatus(code) || code == statusSwitchingProtocols)
+            ec = beast::http::error::bad_status;
         head.status = code;
         head.reason = text(reason);
-        setVersion(version, ec);
+        if (!ec)
+            setVersion(version, ec);
     }
 
     void on_field_impl(beast::http::field name, string_view nameText, string_view value,
@@ -287,6 +293,13 @@
     return out;
 }
 
+bool isStatus(int number)
+{
+    constexpr int first = 100;
+    constexpr int last = 599;
+    return number >= first && number <= last;
+}
+
 std::string reasonOf(int status)
 {
     const string_view reason =
--- a/lib/runtime/httpclient.cpp
+++ b/lib/runtime/httpclient.cpp
@@ -1,5 +1,7 @@
 #include "kumquathaven/runtime/httpclient.h"
 
+#include "kumquathaven/http/message.h"
+
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -19,6 +21,7 @@
 namespace {
 
 constexpr std::size_t readSize = 16384;
+constexpr int firstFinalStatus = 200;
 
 Poco::Timespan timespan(Duration d)
 {
@@ -200,6 +203,12 @@
                                       "the connection was closed inside the head",
                                       Outcome::Unknown));
         m_impl->status = response.getStatus();
+        // The library skips 100 and takes any other interim answer for the final one.
+        if (!http::isStatus(m_impl->status) || m_impl->status < firstFinalStatus)
+            return fail(m_impl->error(ErrorCode::UpstreamFailed, "upstream.readHead",
+                                      "status " + std::to_string(m_impl->status)
+                                          + " is no status of an answer",
+                                      Outcome::Unknown));
         m_impl->session->setChunked(response.getChunkedTransferEncoding());
         m_impl->isFramed = response.getChunkedTransferEncoding() || response.hasContentLength();
         for (const auto &it : response)
--- a/unittests/gateway/answerendtest.cpp
+++ b/unittests/gateway/answerendtest.cpp
@@ -217,3 +217,30 @@
     }
     CHECK(cells == 340);
 }
+
+// Guards against an answer that is none and reaches its caller.
+TEST_CASE("an answer whose status is none reaches no caller")
+{
+    for (const std::string route : {"ask", "review", "read", "write"}) {
+        for (const std::string status : {"000", "099", "101", "600", "999", "1000", "2xx"}) {
+            CAPTURE(route);
+            CAPTURE(status);
+            ExchangeFixture t;
+            const auto answer = [&](Peer &peer, const std::string &request) {
+                peer.send("HTTP/1.1 " + status + " None\r\nId: " + fieldOf(request, "Id")
+                          + "\r\nContent-Length: 6\r\n\r\nno own");
+            };
+            for (const auto *servers : {&t.apps, &t.engines}) {
+                for (const auto &it : *servers)
+                    it->answer = answer;
+            }
+            Peer &caller = t.connect();
+            caller.send(ExchangeFixture::request(route, "r1", "Timeout: 1000\r\n"));
+            REQUIRE(t.runUntil([&] {
+                return t.gateway.running == 0 && !caller.received.empty();
+            }));
+            CHECK(caller.received.rfind("HTTP/1.1 50", 0) == 0);
+            CHECK(countOf(caller.received, "no own") == 0);
+        }
+    }
+}
--- a/unittests/http/messagetest.cpp
+++ b/unittests/http/messagetest.cpp
@@ -182,3 +182,23 @@
         CHECK(body.size() <= 1'100);
     }
 }
+
+TEST_CASE("an answer has one status line, with a status that is one")
+{
+    for (const std::string line :
+         {"HTTP/1.1 000 None", "HTTP/1.1 099 None", "HTTP/1.1 600 None", "HTTP/1.1 999 None",
+          "HTTP/1.1 1000 None", "HTTP/1.1 20 None", "HTTP/1.1 2xx None", "HTTP/1.1 -20 None",
+          "HTTP/1.1 101 Switching Protocols", "HTTP/1.1 200 OK\r\nHTTP/1.1 200 OK"}) {
+        CAPTURE(line);
+        std::string body;
+        CHECK(parse(MessageSide::Answer, line + "\r\nContent-Length: 2\r\n\r\nab", body)
+              == ParseState::Malformed);
+    }
+    for (const std::string status : {"100", "200", "404", "599"}) {
+        CAPTURE(status);
+        std::string body;
+        const std::string head = "HTTP/1.1 " + status + " Any\r\n";
+        CHECK(parse(MessageSide::Answer, head + "Content-Length: 0\r\n\r\n", body)
+              == ParseState::Done);
+    }
+}
--- a/unittests/runtime/httptest.cpp
+++ b/unittests/runtime/httptest.cpp
@@ -228,6 +228,20 @@
     }
 }
 
+TEST_CASE("an answer whose status is none is an error")
+{
+    for (const std::string status : {"000", "099", "101", "102", "600", "999", "1000", "2xx"}) {
+        CAPTURE(status);
+        const Peer peer([&](Poco::Net::StreamSocket &it) {
+            const std::string answer =
+                "HTTP/1.1 " + status + " None\r\nContent-Length: 2\r\n\r\nab";
+            it.sendBytes(answer.data(), static_cast<int>(answer.size()));
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        });
+        CHECK(failureOf(peer.address(), {}) == "upstreamFailed unknown");
+    }
+}
+
 TEST_CASE("a call that may not be sent any more once its connection stands sends no byte")
 {
     std::atomic<int> received{-1};
