Entry: servers that may fail by themselves are exposed last in a rollout

Cause: at the small share few servers are exposed. Once these failed, their errors could be those of one server, others were never asked, and a release that failed always was rolled back at the time limit only (11.6 of 12 s); a good release with one failing server would have been, too. Change: entries expose the group that release::avoidedGroup() names last.

--- a/lib/gateway/releases.cpp
+++ b/lib/gateway/releases.cpp
@@ -118,6 +118,22 @@
     return sum;
 }
 
+/// Returns the position of a place in the order in which servers are exposed: those of the avoided
+/// group come last, so that other servers tell whether the release or one server fails.
+std::uint32_t exposurePosition(const KnownRollout &rollout, std::uint32_t place)
+{
+    constexpr auto groups = static_cast<std::uint32_t>(release::serverGroupCount);
+    const auto avoided = static_cast<std::uint32_t>(rollout.avoidedGroup);
+    if (avoided >= groups)
+        return place;
+    const auto avoidedBefore = [avoided](std::uint32_t end) {
+        return end > avoided ? (end - avoided - 1) / groups + 1 : 0;
+    };
+    const auto servers = static_cast<std::uint32_t>(rollout.places.size());
+    return place % groups == avoided ? servers - avoidedBefore(servers) + avoidedBefore(place)
+                                     : place - avoidedBefore(place);
+}
+
 enum class SendResult { Nothing, Good, Error, Cut };
 
 SendResult resultOf(const ReleaseSendEnd &send)
@@ -240,7 +256,8 @@
     if (!isNext || isFull)
         return isNext;
     const auto place = rollout.places.find(start);
-    return place != rollout.places.end() && place->second < rollout.exposedServers;
+    return place != rollout.places.end()
+        && exposurePosition(rollout, place->second) < rollout.exposedServers;
 }
 
 ReleaseSend releaseSendOf(const Releases &releases, const deployment::ListedServer &server,
@@ -422,7 +439,9 @@
         release::Policy policy = releases.policy;
         if (rollout.maxSlots > 0)
             policy.requestsPerServer = rollout.maxSlots;
-        rollout.fault = release::faultOf(evidenceOf(releases, rollout), policy);
+        const release::Evidence evidence = evidenceOf(releases, rollout);
+        rollout.avoidedGroup = release::avoidedGroup(evidence);
+        rollout.fault = release::faultOf(evidence, policy);
         if (!rollout.fault.empty())
             services.push_back(service);
     }
--- a/lib/gateway/releases.h
+++ b/lib/gateway/releases.h
@@ -57,6 +57,9 @@
     /// Places of the servers with the new release in the order in which they are exposed, by start.
     std::map<std::string, std::uint32_t> places;
     std::uint32_t exposedServers = 0;
+    /// The group of places that is exposed last, since its errors may be those of one failing
+    /// server; release::serverGroupCount if there is none.
+    std::size_t avoidedGroup = release::serverGroupCount;
     std::uint32_t maxSlots = 0;
 
     /// Counts of this instance and of all others together.
--- a/unittests/gateway/releasestest.cpp
+++ b/unittests/gateway/releasestest.cpp
@@ -6,7 +6,9 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <cmath>
+#include <set>
 
 using namespace gatewaytest;
 using catalogue::RolloutState;
@@ -219,6 +221,34 @@
     CHECK(exposed(1000).size() == 40);
 }
 
+TEST_CASE("servers whose errors may be those of one failing server are exposed last")
+{
+    for (const std::size_t servers : {1U, 2U, 4U, 5U, 8U, 11U}) {
+        for (const std::size_t failing : {0U, 1U, 3U}) {
+            CAPTURE(servers);
+            CAPTURE(failing);
+            Releases releases = known(order(50), servers, servers);
+            KnownRollout &rollout = releases.rollouts.at(service);
+            rollout.own.groups[failing] = {10, 9};
+            rollout.hasNewCounts = true;
+            applyBrakes(releases);
+            std::vector<bool> isFailing;
+            std::set<std::string> exposed;
+            for (std::uint32_t n = 1; n <= servers; ++n) {
+                rollout.exposedServers = n;
+                for (const deployment::ListedServer &it : listOf(servers, servers)) {
+                    const std::string start = deployment::startIdOf(it);
+                    if (isOnSide(releases, it, start, ReleaseSide::Next)
+                        && exposed.insert(start).second)
+                        isFailing.push_back(rollout.places.at(start) % 4 == failing);
+                }
+                CHECK(exposed.size() == n);
+            }
+            CHECK(std::is_sorted(isFailing.begin(), isFailing.end()));
+        }
+    }
+}
+
 TEST_CASE("ends of sends count as failures of the release, as good answers or not at all")
 {
     struct Row
