--- a/lib/gateway/pick.cpp
+++ b/lib/gateway/pick.cpp
@@ -19,8 +19,6 @@
 /// A shared part that an engine reads in less time than this is neither placed nor stored: it costs
 /// less than a step of the engine.
 constexpr Duration minPlacedReadTime = std::chrono::milliseconds(2);
-/// The same as a share of the objective.
-constexpr double minPlacedReadShare = 0.01;
 /// Maximum wait, as a share of the objective, at a server that was drawn for a request whose shared
 /// part is not placed.
 constexpr double maxDrawnWaitShare = 0.25;
@@ -301,8 +299,7 @@
     const deployment::Service *store = storeFor(servers, request);
     Placement placement;
     const Duration readTime = sharedReadTime(servers, request, out);
-    const bool isPlaced = readTime >= minPlacedReadTime
-        && toSeconds(readTime) >= toSeconds(request.route->objective) * minPlacedReadShare;
+    const bool isPlaced = readTime >= minPlacedReadTime;
     if (isWorthStoring(request, service, store, readTime))
         addStoreView(servers, request, service, store, out, placement, now);
     placement.maxReaderDelay =
