Entry: servers of a later release are used after a rollout is complete

Cause: after a complete rollout entries used its release alone. Where a platform then replaces servers one after the other without an order, as it may, each server with a later release would have stayed unused, until none was left. Change: only the releases that were listed beside the new one stay out, and not even those if no server of the new one is listed any more.

--- a/lib/gateway/releases.cpp
+++ b/lib/gateway/releases.cpp
@@ -202,10 +202,17 @@
         rollout.maxSlots = 0;
         std::vector<std::pair<std::uint64_t, std::string>> ranks;
         const std::string number = std::to_string(rollout.order.number);
+        const bool isReplacing =
+            rollout.order.state == RolloutState::Running || !rollout.knowsReplaced;
         for (const deployment::ListedServer *it : servers) {
-            if (it->service != service || it->isDraining)
+            if (it->service != service)
                 continue;
             const bool isNext = it->release == rollout.order.release;
+            rollout.knowsReplaced = true;
+            if (!isNext && isReplacing)
+                rollout.replaced.insert(it->release);
+            if (it->isDraining)
+                continue;
             ++(isNext ? rollout.supply.nextServers : rollout.supply.presentServers);
             (isNext ? rollout.supply.nextSlots : rollout.supply.presentSlots) += it->slots;
             if (!isNext)
@@ -251,9 +258,10 @@
     const bool isNext = server.release == rollout.order.release;
     if (side == ReleaseSide::Present)
         return !isNext && rollout.withdrawn.count(server.release) == 0;
-    const bool isFull =
-        rollout.order.state == RolloutState::Complete || rollout.order.sharePerMille >= fullShare;
-    if (!isNext || isFull)
+    if (rollout.order.state == RolloutState::Complete)
+        return isNext || rollout.replaced.count(server.release) == 0
+            || rollout.supply.nextServers == 0;
+    if (!isNext || rollout.order.sharePerMille >= fullShare)
         return isNext;
     const auto place = rollout.places.find(start);
     return place != rollout.places.end()
--- a/lib/gateway/releases.h
+++ b/lib/gateway/releases.h
@@ -52,6 +52,11 @@
     TimePoint endedAt{};
     /// Releases that were rolled back before and not ordered again.
     std::set<std::string> withdrawn;
+    /// Releases that were listed beside the new one before it was complete, or that the first list
+    /// after that had. Their servers end with the rollout. Servers of later releases are used,
+    /// since a platform may replace servers without an order.
+    std::set<std::string> replaced;
+    bool knowsReplaced = false;
 
     release::Supply supply;
     /// Places of the servers with the new release in the order in which they are exposed, by start.
--- a/unittests/gateway/releasestest.cpp
+++ b/unittests/gateway/releasestest.cpp
@@ -160,6 +160,35 @@
     }
 }
 
+TEST_CASE("servers that a platform starts with a later release are used after a rollout")
+{
+    for (const bool wasSeenRunning : {true, false}) {
+        CAPTURE(wasSeenRunning);
+        Releases releases = known(order(1000), 3, 3);
+        if (!wasSeenRunning)
+            releases = {};
+        apply(releases, order(1000, 2, RolloutState::Complete), at(1));
+        auto servers = listOf(3, 3);
+        const auto isUsed = [&](std::size_t n) {
+            std::vector<const deployment::ListedServer *> list;
+            for (const deployment::ListedServer &it : servers)
+                list.push_back(&it);
+            applySupply(releases, list);
+            const std::string start = deployment::startIdOf(servers[n]);
+            return isOnSide(releases, servers[n], start, ReleaseSide::Next);
+        };
+        CHECK_FALSE(isUsed(0));
+        CHECK(isUsed(3));
+        servers[1].release = "v3";
+        CHECK(isUsed(1));
+        CHECK_FALSE(isUsed(0));
+        for (std::size_t n = 3; n < servers.size(); ++n)
+            servers[n].release = "v4";
+        CHECK(isUsed(3));
+        CHECK(isUsed(1));
+    }
+}
+
 TEST_CASE("a request that the new release failed goes to the present one")
 {
     const AppRequest app;
