--- a/unittests/gateway/releasestest.cpp
+++ b/unittests/gateway/releasestest.cpp
@@ -171,6 +171,7 @@
         auto servers = listOf(3, 3);
         const auto isUsed = [&](std::size_t n) {
             std::vector<const deployment::ListedServer *> list;
+            list.reserve(servers.size());
             for (const deployment::ListedServer &it : servers)
                 list.push_back(&it);
             applySupply(releases, list);
