--- a/review/common-2/server.py
+++ b/review/common-2/server.py
@@ -19,7 +19,6 @@
 options.add_argument("--events", type=int, default=8)
 options.add_argument("--pause", type=float, default=0.02)
 options.add_argument("--unframed", action="store_true", help="streams have no length and end with their connection")
-options.add_argument("--no-content", action="store_true", help="answers of plain requests are 204")
 options = options.parse_args()
 
 lock = threading.Lock()
@@ -48,15 +47,13 @@
 
     def reply(self, status, body=b"", fields=()):
         self.send_response(status)
-        if status != 204:
-            self.send_header("Content-Length", str(len(body)))
+        self.send_header("Content-Length", str(len(body)))
         if "X-Request-Id" in self.headers:
             self.send_header("X-Request-Id", self.headers["X-Request-Id"])
         for name, value in fields:
             self.send_header(name, value)
         self.end_headers()
-        if status != 204:
-            self.wfile.write(body)
+        self.wfile.write(body)
         self.wfile.flush()
 
     def do_GET(self):
@@ -84,8 +81,6 @@
             return self.engine()
         note(ran=self.headers["X-Request-Id"], method=self.command, path=self.path)
         stamp = [("X-Response-Stamp", f"stamp-{options.name}-{self.headers['X-Request-Id']}")]
-        if options.no_content:
-            return self.reply(204, b"", stamp)
         return self.reply(200, f"answer to {self.headers['X-Request-Id']}".encode(), stamp)
 
     do_POST = do_PUT = do_DELETE = do_HEAD = do_GET
