--- a/review/common-2/bed.py
+++ b/review/common-2/bed.py
@@ -30,16 +30,24 @@
     """The case could not run; it says nothing of the software."""
 
 
-def free_port(host="127.0.0.1"):
-    """A port outside the range from which the system draws ports of outgoing connections."""
+HOSTS = ["127.0.0.1", *(f"127.0.0.{n}" for n in range(11, 16)), "127.0.1.11", "127.0.1.12"]
+taken_ports = set()
+
+
+def free_port():
+    """A port that is free on all addresses of the deployment, outside the range from which the system draws ports."""
     for _ in range(500):
         port = 10240 + int.from_bytes(os.urandom(2), "big") % 20000
-        with socket.socket() as it:
-            try:
-                it.bind((host, port))
-                return port
-            except OSError:
-                continue
+        if port in taken_ports:
+            continue
+        try:
+            for host in HOSTS:
+                with socket.socket() as it:
+                    it.bind((host, port))
+        except OSError:
+            continue
+        taken_ports.add(port)
+        return port
     raise CannotRun("no free port")
 
 
