Consensus: a log is bounded by bytes, not only by its number of entries

Until then each change stayed in memory and in the segments, and a start held the whole log twice: as entries, and as committed entries. Why it works: what a member keeps now follows from the size of the state, whatever the number of changes.

--- a/include/kumquathaven/consensus/replica.h
+++ b/include/kumquathaven/consensus/replica.h
@@ -99,6 +99,8 @@
     /// Returns the term of the entry at \p index, or nothing if the entry is not in memory and is
     /// not the one right before the first in memory.
     std::optional<std::uint64_t> termAt(std::uint64_t index) const;
+    /// Returns the bytes of all entries in memory.
+    std::size_t entryBytes() const { return m_entryBytes; }
     /// Returns the replication progress of all members; empty unless this member is the leader.
     std::vector<MemberProgress> progress(TimePoint now) const;
 
@@ -186,6 +188,7 @@
     void applyConfiguration();
     void setCommit(std::uint64_t index);
     void compact(std::uint64_t index);
+    bool isSnapshotDue() const;
 
     // election.cpp: elections and leadership transfer.
     void becomeFollower(std::uint64_t term, std::optional<MemberId> leader, TimePoint now);
@@ -260,6 +263,8 @@
     Snapshot m_snapshot;
     /// Entries in memory, starting at m_firstIndex. The entry before them has the term m_baseTerm.
     std::deque<Entry> m_entries;
+    /// Bytes of m_entries.
+    std::size_t m_entryBytes = 0;
     std::uint64_t m_firstIndex = 1;
     std::uint64_t m_baseTerm = 0;
     std::uint64_t m_commitIndex = 0;
@@ -271,6 +276,8 @@
     std::uint64_t m_firstUnsavedIndex = 0;
     /// Applied index at the last request for a snapshot.
     std::uint64_t m_snapshotRequestIndex = 0;
+    /// Bytes of the entries applied since the last snapshot or request for one.
+    std::size_t m_appliedBytes = 0;
 
     /// The configuration in force: the last one in the log, committed or not.
     Configuration m_configuration;
--- a/include/kumquathaven/consensus/replicasettings.h
+++ b/include/kumquathaven/consensus/replicasettings.h
@@ -38,9 +38,17 @@
     std::size_t maxSnapshotBytes = std::size_t{256} * 1024 * 1024;
     /// Number of applied entries after which a snapshot is due.
     std::uint64_t snapshotEntries = 4096;
-    /// Number of entries before a snapshot that stay in memory, so that members that lag slightly
-    /// receive entries instead of the snapshot.
+    /// Bytes of applied entries after which a snapshot is due, or the size of the last snapshot if
+    /// that is larger. The log and the time to replay it thus depend on the size of the state and
+    /// not on the number of changes, and at most half of all bytes written are snapshots.
+    std::size_t snapshotBytes = std::size_t{8} * 1024 * 1024;
+    /// Maximum number and bytes of entries before a snapshot that stay in memory, so that members
+    /// that lag slightly receive entries instead of the snapshot.
     std::uint64_t trailingEntries = 1024;
+    std::size_t trailingBytes = std::size_t{2} * 1024 * 1024;
+    /// Maximum bytes of committed entries that one drain returns; a larger entry is returned alone.
+    /// A long log is applied, and replaced by snapshots, in parts of this size.
+    std::size_t maxCommittedBytes = std::size_t{4} * 1024 * 1024;
     /// Maximum number of entries by which a learner may lag and still be promoted.
     std::uint64_t maxPromotionLag = 16;
     std::size_t maxPendingReads = 4096;
--- a/lib/consensus/entries.cpp
+++ b/lib/consensus/entries.cpp
@@ -36,6 +36,7 @@
 void Replica::append(Entry entry)
 {
     assert(entry.index == lastIndex() + 1 && "entries are appended without gaps");
+    m_entryBytes += entry.data.size();
     m_entries.push_back(std::move(entry));
     if (m_firstUnsavedIndex == 0)
         m_firstUnsavedIndex = m_entries.back().index;
@@ -45,7 +46,10 @@
 void Replica::truncateFrom(std::uint64_t index)
 {
     assert(index > m_commitIndex && "a committed entry is never replaced");
-    m_entries.resize(index - m_firstIndex);
+    while (lastIndex() >= index) {
+        m_entryBytes -= m_entries.back().data.size();
+        m_entries.pop_back();
+    }
     m_durableIndex = std::min(m_durableIndex, index - 1);
     if (m_firstUnsavedIndex >= index)
         m_firstUnsavedIndex = 0;
@@ -115,11 +119,26 @@
 {
     while (m_configurations.size() > 1 && m_configurations[1].at.index <= index)
         m_configurations.pop_front();
-    while (m_firstIndex + m_settings.trailingEntries <= index) {
+    std::size_t trailingBytes = 0;
+    for (std::uint64_t n = m_firstIndex; n <= index; ++n)
+        trailingBytes += entryAt(n)->data.size();
+    while (m_firstIndex + m_settings.trailingEntries <= index
+           || trailingBytes > m_settings.trailingBytes) {
+        const std::size_t bytes = m_entries.front().data.size();
+        trailingBytes -= bytes;
+        m_entryBytes -= bytes;
         m_baseTerm = m_entries.front().term;
         m_entries.pop_front();
         ++m_firstIndex;
     }
 }
 
+bool Replica::isSnapshotDue() const
+{
+    const std::uint64_t base = std::max(m_snapshot.index, m_snapshotRequestIndex);
+    const std::size_t stateBytes = m_snapshot.state ? m_snapshot.state->size() : 0;
+    return m_applied >= base + m_settings.snapshotEntries
+        || m_appliedBytes >= std::max(m_settings.snapshotBytes, stateBytes);
+}
+
 } // namespace kumquathaven::consensus
--- a/lib/consensus/replica.cpp
+++ b/lib/consensus/replica.cpp
@@ -45,6 +45,9 @@
         m_configurations.push_back(
             {{m_snapshot.index, m_snapshot.term}, configurationFrom(m_snapshot.configuration)});
     for (Entry &it : start.contents.entries) {
+        m_entryBytes += it.data.size();
+        if (it.index <= m_applied)
+            m_appliedBytes += it.data.size();
         m_entries.push_back(std::move(it));
         trackConfiguration(m_entries.back());
     }
@@ -244,11 +247,15 @@
 void Replica::collectCommitted(Effects &effects)
 {
     const std::uint64_t until = std::min(m_commitIndex, m_durableIndex);
-    while (m_applied < until)
+    std::size_t bytes = 0;
+    while (m_applied < until && bytes < m_settings.maxCommittedBytes) {
         effects.committed.push_back(*entryAt(++m_applied));
-    const std::uint64_t base = std::max(m_snapshot.index, m_snapshotRequestIndex);
-    if (m_applied >= base + m_settings.snapshotEntries) {
+        bytes += effects.committed.back().data.size();
+    }
+    m_appliedBytes += bytes;
+    if (isSnapshotDue()) {
         m_snapshotRequestIndex = m_applied;
+        m_appliedBytes = 0;
         effects.snapshotDue = true;
     }
 }
--- a/lib/consensus/snapshot.cpp
+++ b/lib/consensus/snapshot.cpp
@@ -72,6 +72,8 @@
     m_effects.receivedSnapshot = m_snapshot;
     m_effects.localSnapshot.reset();
     m_entries.clear();
+    m_entryBytes = 0;
+    m_appliedBytes = 0;
     m_firstIndex = body.index + 1;
     m_baseTerm = body.term;
     m_commitIndex = body.index;
--- a/lib/control/logduty.cpp
+++ b/lib/control/logduty.cpp
@@ -192,7 +192,19 @@
     for (const consensus::MemberId &it : output.joining)
         m_joining[it.instance] = it;
     if (output.snapshotDue)
-        m_group->saveSnapshot(m_applied, m_machine.save());
+        saveSnapshot();
+}
+
+void LogDuty::saveSnapshot()
+{
+    std::string state = m_machine.save();
+    telemetry::logLine(telemetry::LogLevel::Info, "log", "snapshot taken",
+                       {{"group", std::to_string(m_settings.group.group)},
+                        {"index", std::to_string(m_applied)},
+                        {"stateBytes", std::to_string(state.size())},
+                        {"entryBytes", std::to_string(m_group->replica().entryBytes())},
+                        {"logBytes", std::to_string(m_group->logBytes())}});
+    m_group->saveSnapshot(m_applied, std::move(state));
 }
 
 void LogDuty::applyEntry(const consensus::Entry &entry)
@@ -231,6 +243,9 @@
     next.progress = replica.progress(now);
     next.commitIndex = replica.commitIndex();
     next.appliedIndex = m_applied;
+    next.group = m_settings.group.group;
+    next.entryBytes = replica.entryBytes();
+    next.diskBytes = m_group->logBytes();
     next.isStorageDown = m_group->isStorageDown();
     next.isRemoved = replica.isRemoved();
     const std::lock_guard<std::mutex> lock(m_mutex);
--- a/lib/control/logduty.h
+++ b/lib/control/logduty.h
@@ -37,6 +37,10 @@
     std::vector<consensus::MemberProgress> progress;
     std::uint64_t commitIndex = 0;
     std::uint64_t appliedIndex = 0;
+    std::uint32_t group = 0;
+    /// Bytes of the log's entries in memory, and of its segments on disk.
+    std::size_t entryBytes = 0;
+    std::size_t diskBytes = 0;
     bool isStorageDown = false;
     /// Whether the group committed a configuration without this member.
     bool isRemoved = false;
@@ -148,6 +152,7 @@
     void advance(TimePoint now);
     void perform(consensus::Output &output);
     void applyEntry(const consensus::Entry &entry);
+    void saveSnapshot();
     void failExpired(TimePoint now);
     void refreshStatus();
 
--- a/lib/control/operators.cpp
+++ b/lib/control/operators.cpp
@@ -218,6 +218,14 @@
     set("log_applied_index", "log entries applied", static_cast<double>(log.appliedIndex));
     set("log_term", "term of the log", static_cast<double>(log.raftState.term));
     set("log_removed", "1 on a member that was removed", log.isRemoved ? 1.0 : 0.0);
+    for (const LogDuty *it : context.logs) {
+        const LogStatus status = it->status();
+        const telemetry::Labels group{{"group", std::to_string(status.group)}};
+        metrics.gauge("kumquathaven_log_disk_bytes", "bytes of a log on disk", group)
+            .set(static_cast<double>(status.diskBytes));
+        metrics.gauge("kumquathaven_log_memory_bytes", "bytes of log entries in memory", group)
+            .set(static_cast<double>(status.entryBytes));
+    }
     set("log_leader", "1 on the leader", log.raftState.role == consensus::Role::Leader ? 1.0 : 0.0);
     set("feed_subscribers", "entry instances fed", static_cast<double>(feed.subscribers));
     set("feed_changes_sent", "changes sent", static_cast<double>(feed.changesSent));
