Feed: changes retained for subscribers are bounded by bytes

Cause: the publisher kept 2,048 changes, whatever their size; entries run one too, since they relay. Change: it keeps at most 4 MiB of them. A subscriber that missed more gets the complete state, which is smaller than the changes that it replaces unless the catalogue itself is larger. Why it works: the bound holds after each published change, and a subscriber still gets every change or the state.

--- a/include/kumquathaven/feed/publisher.h
+++ b/include/kumquathaven/feed/publisher.h
@@ -23,6 +23,12 @@
     std::vector<SubscriberId> subscribers;
 };
 
+/// Maximum number and bytes of changes retained for subscribers that reconnect. The number covers
+/// an hour at the rate that the design provides for. A subscriber that missed more bytes than this
+/// receives the complete state, which is smaller than the changes unless the catalogue is larger.
+constexpr std::size_t maxRetainedChanges = 2048;
+constexpr std::size_t maxRetainedBytes = std::size_t{4} * 1024 * 1024;
+
 /// Retains the newest changes and knows the current subscribers.
 class Publisher
 {
@@ -46,6 +52,8 @@
     /// Returns the position of the newest change.
     std::uint64_t position() const { return m_position; }
     std::size_t subscriberCount() const { return m_subscribers.size(); }
+    /// Returns the bytes of the retained changes.
+    std::size_t retainedBytes() const { return m_retainedBytes; }
 
 private:
     struct RetainedChange
@@ -58,6 +66,7 @@
     /// Every change after this position is retained.
     std::uint64_t m_retainedAfter = 0;
     std::deque<RetainedChange> m_retained;
+    std::size_t m_retainedBytes = 0;
     std::set<SubscriberId> m_subscribers;
 };
 
--- a/lib/control/feedduty.cpp
+++ b/lib/control/feedduty.cpp
@@ -307,6 +307,7 @@
     m_provenAt = std::max(m_provenAt, m_proofs.provenAt());
     const std::lock_guard<std::mutex> lock(m_mutex);
     m_counts.subscribers = m_publisher.subscriberCount();
+    m_counts.retainedBytes = m_publisher.retainedBytes();
     if (m_provenAt != TimePoint{})
         m_counts.proofAge = now - m_provenAt;
     if (m_list)
--- a/lib/control/feedduty.h
+++ b/lib/control/feedduty.h
@@ -26,6 +26,8 @@
 struct FeedCounts
 {
     std::size_t subscribers = 0;
+    /// Bytes of the changes retained for subscribers that reconnect.
+    std::size_t retainedBytes = 0;
     std::uint64_t framesDropped = 0;
     std::uint64_t snapshotsSent = 0;
     /// Instances that were redirected to relays for their first state.
--- a/lib/control/operators.cpp
+++ b/lib/control/operators.cpp
@@ -232,6 +232,8 @@
     set("feed_redirects_sent", "instances sent to relays for their first state",
         static_cast<double>(feed.redirected));
     set("feed_snapshots_sent", "whole states sent", static_cast<double>(feed.snapshotsSent));
+    set("feed_retained_bytes", "bytes of changes retained for subscribers",
+        static_cast<double>(feed.retainedBytes));
     set("feed_frames_dropped", "frames dropped", static_cast<double>(feed.framesDropped));
     set("instances_declared_dead", "instances declared dead",
         static_cast<double>(feed.declaredDead));
--- a/lib/feed/publisher.cpp
+++ b/lib/feed/publisher.cpp
@@ -2,17 +2,10 @@
 
 namespace kumquathaven::feed {
 
-namespace {
-
-/// Number of changes retained for subscribers that reconnect. They cover an hour at the rate that
-/// the design provides for.
-constexpr std::size_t maxRetainedChanges = 2048;
-
-} // namespace
-
 void Publisher::restart(std::uint64_t position)
 {
     m_retained.clear();
+    m_retainedBytes = 0;
     m_retainedAfter = position;
     m_position = position;
 }
@@ -20,18 +13,17 @@
 std::vector<Delivery> Publisher::publish(const ChangeAt &change)
 {
     m_position = change.position;
-    m_retained.push_back({change.position, toFrame(change)});
-    if (m_retained.size() > maxRetainedChanges) {
+    const wire::Frame frame = toFrame(change);
+    m_retained.push_back({change.position, frame});
+    m_retainedBytes += frame.body.size();
+    while (m_retained.size() > maxRetainedChanges || m_retainedBytes > maxRetainedBytes) {
         m_retainedAfter = m_retained.front().position;
+        m_retainedBytes -= m_retained.front().frame.body.size();
         m_retained.pop_front();
     }
-    std::vector<SubscriberId> subscribers;
-    subscribers.reserve(m_subscribers.size());
-    for (const SubscriberId it : m_subscribers)
-        subscribers.push_back(it);
-    if (subscribers.empty())
+    if (m_subscribers.empty())
         return {};
-    return {{m_retained.back().frame, std::move(subscribers)}};
+    return {{frame, {m_subscribers.begin(), m_subscribers.end()}}};
 }
 
 std::vector<Delivery> Publisher::subscribe(SubscriberId subscriber, std::uint64_t position,
--- a/unittests/feed/feedtest.cpp
+++ b/unittests/feed/feedtest.cpp
@@ -434,3 +434,42 @@
     CHECK_FALSE(
         catalogue::apply(control, {{}, {}, catalogue::AnnounceInstance{process(7), 0}}).accepted);
 }
+
+// Guards against control members and relays that fill their memory with past changes.
+TEST_CASE("changes retained for subscribers are bounded by bytes and by their number")
+{
+    struct Row
+    {
+        std::size_t changeBytes;
+        std::size_t changes;
+    };
+    for (const Row &row : {Row{10, 3 * maxRetainedChanges}, Row{100'000, 300}, Row{1'000'000, 30},
+                           Row{2 * maxRetainedBytes, 3}}) {
+        CAPTURE(row.changeBytes);
+        Publisher publisher;
+        publisher.restart(1);
+        const auto stateFrame = [] {
+            return wire::Frame{wire::Channel::Feed, "state", {}};
+        };
+        for (std::size_t n = 0; n < row.changes; ++n) {
+            catalogue::Declare body;
+            body.declaration.version = n + 1;
+            body.declaration.text = std::make_shared<const std::string>(row.changeBytes, 'x');
+            static_cast<void>(publisher.publish({n + 2, {{}, {}, body}, n + 1, 0}));
+            CHECK(publisher.retainedBytes() <= maxRetainedBytes);
+        }
+        // A subscriber from any earlier position gets all changes after it, or the state.
+        for (std::uint64_t position = 1; position <= row.changes + 1; ++position) {
+            const auto sent = publisher.subscribe(7, position, stateFrame);
+            const std::size_t missed = row.changes + 1 - position;
+            const bool isState = sent.size() == 1 && sent.front().frame.kind == "state";
+            CHECK((isState || sent.size() == missed));
+            CHECK((isState || missed * row.changeBytes <= maxRetainedBytes));
+            CHECK((isState || missed <= maxRetainedChanges));
+            // What fits into both bounds is retained.
+            const bool fits = missed * (row.changeBytes + 100) <= maxRetainedBytes
+                && missed <= maxRetainedChanges;
+            CHECK((!isState || !fits));
+        }
+    }
+}
