Consensus: what is in flight to one member is bounded by bytes

Cause: a leader had up to 16 appends in flight to each member, and an entry larger than an append is sent alone: up to 16 MB to each member that returns. A member that did not respond was sent its probe's entries again with each heartbeat, all of which stay in the queue of its link until the link is closed for silence. Change: the bytes in flight to a member have a bound of 2 MiB, and a larger entry is in flight alone. A member that has not responded within the election timeout gets no entries; its response to a heartbeat ends the probe. Why it works: the window counts bytes where it counted messages, and a heartbeat carries what a probe asks.

--- a/include/kumquathaven/consensus/message.h
+++ b/include/kumquathaven/consensus/message.h
@@ -126,6 +126,9 @@
 /// TooLarge if it exceeds a limit.
 Result<Message> messageFromJson(const nlohmann::json &value, const MessageLimits &limits);
 
+/// Returns the bytes of the entries, or of the part of a snapshot, that a message carries.
+std::size_t contentBytes(const Message &message);
+
 /// Encodes a message as CBOR.
 std::string encode(const Message &message);
 
--- a/include/kumquathaven/consensus/replica.h
+++ b/include/kumquathaven/consensus/replica.h
@@ -109,6 +109,13 @@
     /// at a time; a stream pipelines appends.
     enum class SendMode { Probe, Stream, Snapshot };
 
+    /// An append with entries to which a member has not responded.
+    struct InflightAppend
+    {
+        std::uint64_t lastIndex = 0;
+        std::size_t bytes = 0;
+    };
+
     /// The leader's replication state for another member.
     struct Progress
     {
@@ -117,8 +124,9 @@
         std::uint64_t next = 1;
         /// Index of the last entry known to be durable on the member.
         std::uint64_t match = 0;
-        /// Last entry index of each append in flight.
-        std::deque<std::uint64_t> inflight;
+        /// Appends in flight, and the bytes of all their entries.
+        std::deque<InflightAppend> inflight;
+        std::size_t inflightBytes = 0;
         /// Whether a probe or a snapshot chunk may be sent now.
         bool ready = true;
         /// The snapshot in flight, if its index is not zero, and the byte offset of its current
@@ -206,9 +214,10 @@
     // replication.cpp: appends, heartbeat rounds and the commit index.
     void startRound(TimePoint now);
     void sendHeartbeats(TimePoint now);
-    void sendPending();
-    void sendAppends(const MemberId &to, Progress &progress);
+    void sendPending(TimePoint now);
+    void sendAppends(const MemberId &to, Progress &progress, TimePoint now);
     void sendAppend(const MemberId &to, Progress &progress, bool withEntries);
+    bool hasRoomInFlight(const Progress &progress) const;
     void advanceCommit(TimePoint now);
     void reconcileProgress();
     bool isWellFormed(const Message &message, const AppendRequest &body) const;
--- a/include/kumquathaven/consensus/replicasettings.h
+++ b/include/kumquathaven/consensus/replicasettings.h
@@ -28,6 +28,8 @@
     std::size_t maxAppendEntries = 512;
     /// Maximum number of messages with entries in flight to one member.
     std::size_t maxInflight = 16;
+    /// Maximum bytes of entries in flight to one member; a larger entry is in flight alone.
+    std::size_t maxInflightBytes = std::size_t{2} * 1024 * 1024;
     /// Maximum bytes of one proposal.
     std::size_t maxProposalBytes = std::size_t{1024} * 1024;
     /// Maximum total bytes of proposals that are not committed yet.
--- a/lib/consensus/membership.cpp
+++ b/lib/consensus/membership.cpp
@@ -102,7 +102,7 @@
 {
     if (m_configuration.isVoter(m_self) || m_configurations.back().at.index > m_commitIndex)
         return;
-    sendPending();
+    sendPending(now);
     becomeFollower(m_hardState.term, std::nullopt, now);
     m_removed = true;
 }
--- a/lib/consensus/message.cpp
+++ b/lib/consensus/message.cpp
@@ -218,6 +218,18 @@
     return message;
 }
 
+std::size_t contentBytes(const Message &message)
+{
+    if (const auto *snapshot = std::get_if<SnapshotRequest>(&message.body))
+        return snapshot->chunk.size();
+    std::size_t bytes = 0;
+    if (const auto *append = std::get_if<AppendRequest>(&message.body)) {
+        for (const Entry &it : append->entries)
+            bytes += it.data.size();
+    }
+    return bytes;
+}
+
 std::string encode(const Message &message)
 {
     return wire::toCbor(toJson(message));
--- a/lib/consensus/replica.cpp
+++ b/lib/consensus/replica.cpp
@@ -211,7 +211,7 @@
     if (m_role == Role::Leader) {
         if (m_needsReadRound)
             startRound(now);
-        sendPending();
+        sendPending(now);
     }
     Effects effects = std::exchange(m_effects, {});
     collectUnsaved(effects);
--- a/lib/consensus/replication.cpp
+++ b/lib/consensus/replication.cpp
@@ -30,18 +30,21 @@
     startRound(now);
 }
 
-void Replica::sendPending()
+void Replica::sendPending(TimePoint now)
 {
     for (auto &it : m_progress)
-        sendAppends(it.first, it.second);
+        sendAppends(it.first, it.second, now);
 }
 
-void Replica::sendAppends(const MemberId &to, Progress &progress)
+// A member that does not respond gets no entries, since each repeated probe would add its entries
+// to the queue of the link. Its response to a heartbeat ends the probe instead.
+void Replica::sendAppends(const MemberId &to, Progress &progress, TimePoint now)
 {
-    if (progress.sendMode == SendMode::Probe && progress.ready && progress.next <= lastIndex())
+    if (progress.sendMode == SendMode::Probe && progress.ready && progress.next <= lastIndex()
+        && isResponsive(to, now))
         sendAppend(to, progress, true);
     while (progress.sendMode == SendMode::Stream && progress.next <= lastIndex()
-           && progress.inflight.size() < m_settings.maxInflight)
+           && hasRoomInFlight(progress))
         sendAppend(to, progress, true);
     if (progress.sendMode == SendMode::Stream && progress.sentCommit < m_commitIndex)
         sendAppend(to, progress, false);
@@ -49,6 +52,18 @@
         sendSnapshotChunk(to, progress);
 }
 
+bool Replica::hasRoomInFlight(const Progress &progress) const
+{
+    const Entry *next = entryAt(progress.next);
+    // Without the entry, sendAppend() changes to the snapshot.
+    if (!next || progress.inflight.empty())
+        return true;
+    const std::size_t nextBytes = next->data.size();
+    return progress.inflight.size() < m_settings.maxInflight
+        && progress.inflightBytes + std::max(nextBytes, m_settings.maxAppendBytes)
+        <= m_settings.maxInflightBytes;
+}
+
 void Replica::sendAppend(const MemberId &to, Progress &progress, bool withEntries)
 {
     const auto previousTerm = termAt(progress.next - 1);
@@ -67,18 +82,19 @@
     std::size_t size = 0;
     for (std::uint64_t n = progress.next; withEntries && n <= lastIndex(); ++n) {
         const Entry &entry = *entryAt(n);
-        size += entry.data.size();
-        const bool isFull =
-            size > m_settings.maxAppendBytes || body.entries.size() == m_settings.maxAppendEntries;
+        const bool isFull = size + entry.data.size() > m_settings.maxAppendBytes
+            || body.entries.size() == m_settings.maxAppendEntries;
         if (isFull && !body.entries.empty())
             break;
+        size += entry.data.size();
         body.entries.push_back(entry);
     }
     if (progress.sendMode == SendMode::Probe)
         progress.ready = progress.ready && !withEntries;
     if (progress.sendMode == SendMode::Stream && !body.entries.empty()) {
         progress.next += body.entries.size();
-        progress.inflight.push_back(progress.next - 1);
+        progress.inflight.push_back({progress.next - 1, size});
+        progress.inflightBytes += size;
     }
     send(to, m_hardState.term, std::move(body));
 }
@@ -217,8 +233,11 @@
     if (body.accepted) {
         progress->match = std::max(progress->match, std::min(body.index, lastIndex()));
         progress->next = std::max(progress->next, progress->match + 1);
-        while (!progress->inflight.empty() && progress->inflight.front() <= progress->match)
+        while (!progress->inflight.empty()
+               && progress->inflight.front().lastIndex <= progress->match) {
+            progress->inflightBytes -= progress->inflight.front().bytes;
             progress->inflight.pop_front();
+        }
         if (progress->sendMode == SendMode::Probe
             || (progress->sendMode == SendMode::Snapshot
                 && progress->match >= progress->snapshot.index))
@@ -233,6 +252,7 @@
     progress->sendMode = SendMode::Probe;
     progress->ready = true;
     progress->inflight.clear();
+    progress->inflightBytes = 0;
 }
 
 std::vector<MemberProgress> Replica::progress(TimePoint now) const
--- a/unittests/consensus/logsizetest.cpp
+++ b/unittests/consensus/logsizetest.cpp
@@ -1,5 +1,5 @@
 // Generated histories of a group whose changes have very different sizes: what its members keep in
-// memory and on disk depends on the size of the state and not on the number of changes.
+// memory, on disk and in flight depends on the size of the state and not on the number of changes.
 
 #include "bench.h"
 #include "common/foreachseed.h"
@@ -33,6 +33,7 @@
     settings.replica.heartbeat = std::chrono::milliseconds(20);
     settings.replica.electionTimeout = std::chrono::milliseconds(100);
     settings.replica.maxAppendBytes = 600;
+    settings.replica.maxInflightBytes = 1500;
     settings.replica.maxProposalBytes = 1000;
     settings.replica.maxUncommittedBytes = 3000;
     settings.replica.snapshotChunkBytes = 300;
@@ -231,6 +232,7 @@
             }
             for (const auto &it : m_members) {
                 const std::vector<Message> sent = it->advance(m_now);
+                checkSent(sent);
                 m_messages.insert(m_messages.end(), sent.begin(), sent.end());
                 check(*it);
             }
@@ -244,6 +246,15 @@
         CHECK(member.diskBytes() <= maxDiskBytes(settings));
     }
 
+    static void checkSent(const std::vector<Message> &sent)
+    {
+        std::map<std::string, std::size_t> bytes;
+        for (const Message &it : sent)
+            bytes[it.to.instance] += contentBytes(it);
+        for (const auto &it : bytes)
+            CHECK(it.second <= smallBounds(0).replica.maxInflightBytes);
+    }
+
     static std::size_t numberOf(const MemberId &member)
     {
         for (std::size_t n = 0; n < memberCount; ++n) {
@@ -264,7 +275,7 @@
 } // namespace
 
 // Guards against a log that outgrows memory and disk because only the number of entries bounds it.
-TEST_CASE("a member's log is bounded by bytes in memory and on disk")
+TEST_CASE("a member's log is bounded by bytes in memory, on disk and in flight")
 {
     forEachSeed(seeds, [](std::uint64_t seed) {
         CAPTURE(seed);
--- a/unittests/consensus/replicationtest.cpp
+++ b/unittests/consensus/replicationtest.cpp
@@ -111,6 +111,52 @@
     CHECK(bench[leader].commitIndex() == bench[leader].lastIndex());
 }
 
+// Guards against a member that returns and is sent a whole queue of large entries at once.
+TEST_CASE("the bytes in flight to one member are bounded, and a larger entry is in flight alone")
+{
+    struct Row
+    {
+        std::size_t entryBytes;
+        std::size_t messages;
+    };
+    for (const Row &row : {Row{20, 2}, Row{60, 1}, Row{100, 1}, Row{300, 1}}) {
+        CAPTURE(row.entryBytes);
+        ReplicaSettings settings;
+        settings.maxAppendBytes = 50;
+        settings.maxInflightBytes = 100;
+        Bench bench(2, 0, settings);
+        const std::size_t leader = bench.waitForLeader();
+        bench.advanceTime(electionTimeout);
+        for (int n = 0; n < 10; ++n)
+            REQUIRE(propose(bench[leader], std::string(row.entryBytes, 'x'), bench.now)
+                    == std::nullopt);
+        bench.applyEffects(leader);
+        CHECK(std::count_if(bench.messages.begin(), bench.messages.end(), isChange)
+              == static_cast<std::ptrdiff_t>(row.messages));
+        bench.deliver();
+        CHECK(bench[leader].commitIndex() == bench[leader].lastIndex());
+    }
+}
+
+// Guards against a queue that grows with each heartbeat to a member that does not read.
+TEST_CASE("a member that does not respond is sent no entries until it responds")
+{
+    Bench bench(3);
+    const Bench::Filter cut = dropMessagesOf(2);
+    const std::size_t leader = bench.waitForLeader(cut);
+    REQUIRE(leader < 2);
+    REQUIRE(propose(bench[leader], "change", bench.now) == std::nullopt);
+    bench.advanceTime(2 * electionTimeout, cut);
+    int sent = 0;
+    bench.advanceTime(2 * electionTimeout, [&](const Message &message) {
+        sent += message.to.instance == memberId(2).instance && isChange(message) ? 1 : 0;
+        return cut(message);
+    });
+    CHECK(sent == 0);
+    bench.advanceTime(2 * electionTimeout);
+    CHECK(changesOf(bench.committed[2]) == std::vector<std::string>{"change"});
+}
+
 TEST_CASE("an entry of an earlier term is committed only along with one of the leader's term")
 {
     Bench bench(3);
