Queues between duties are bounded by bytes where peers choose the sizes

Cause: the queues of a log, of the feed at control and at entries, and of frames about answers and limits had a bound of 4,096 to 32,768 elements. An element holds a change, an append or a state, so that a thread that falls behind let a queue grow to gigabytes. Change: a ring may have a bound in bytes besides; these queues have 8 MiB. An element is accepted whole while less than that is queued. What is refused is repeated by its sender or leads to a new subscription, as before at the bound of elements. Why it works: each of these queues takes what a peer or an operator sized; the others hold elements of fixed size.

--- a/lib/control/cataloguemachine.cpp
+++ b/lib/control/cataloguemachine.cpp
@@ -32,8 +32,7 @@
     return static_cast<routing::OrderRefusal>(value.get<unsigned>());
 }
 
-CatalogueMachine::CatalogueMachine(std::function<void(const feed::ChangeAt &)> changed,
-                                   std::function<void()> restored)
+CatalogueMachine::CatalogueMachine(Changed changed, std::function<void()> restored)
     : m_changed(std::move(changed))
     , m_restored(std::move(restored))
 { }
@@ -73,10 +72,11 @@
         [](const Error &) {
             return nlohmann::json();
         });
-    return value.is_array() ? applyOrder(value) : applyChange(index, value);
+    return value.is_array() ? applyOrder(value) : applyChange(index, value, command.size());
 }
 
-std::string CatalogueMachine::applyChange(std::uint64_t index, const nlohmann::json &command)
+std::string CatalogueMachine::applyChange(std::uint64_t index, const nlohmann::json &command,
+                                          std::size_t bytes)
 {
     const std::uint64_t revision = m_state.catalogue.revision;
     const std::uint64_t epoch = m_state.instances.epoch;
@@ -94,7 +94,7 @@
     if (at.revision != revision || at.epoch != epoch) {
         at.position = index;
         publish(index);
-        m_changed(at);
+        m_changed(at, bytes);
     }
     return wire::toCbor(catalogue::toJson(answer));
 }
--- a/lib/control/cataloguemachine.h
+++ b/lib/control/cataloguemachine.h
@@ -42,11 +42,13 @@
 class CatalogueMachine
 {
 public:
+    /// Takes a change and the size of the command that it was in.
+    using Changed = std::function<void(const feed::ChangeAt &change, std::size_t bytes)>;
+
     /// \p changed is called for every change of the catalogue or the instances that had an effect,
     /// \p restored when the state was replaced by a snapshot. Both are called on the log's thread
     /// after the state is published.
-    CatalogueMachine(std::function<void(const feed::ChangeAt &)> changed,
-                     std::function<void()> restored);
+    CatalogueMachine(Changed changed, std::function<void()> restored);
 
     /// Returns the functions that a log group calls. They refer to this object, which must outlive
     /// them.
@@ -57,12 +59,12 @@
 
 private:
     std::string apply(std::uint64_t index, std::string_view command);
-    std::string applyChange(std::uint64_t index, const nlohmann::json &command);
+    std::string applyChange(std::uint64_t index, const nlohmann::json &command, std::size_t bytes);
     std::string applyOrder(const nlohmann::json &command);
     Result<void> restore(std::string_view bytes);
     void publish(std::uint64_t position);
 
-    std::function<void(const feed::ChangeAt &)> m_changed;
+    Changed m_changed;
     std::function<void()> m_restored;
     catalogue::State m_state;
     routing::OrderState m_orders;
--- a/lib/control/controlrole.cpp
+++ b/lib/control/controlrole.cpp
@@ -131,8 +131,8 @@
     , dialect(d)
     , hub(hubOptions(s))
     , machine(
-          [this](const feed::ChangeAt &change) {
-              feed->changed(change);
+          [this](const feed::ChangeAt &change, std::size_t bytes) {
+              feed->changed(change, bytes);
           },
           [this] {
               feed->restored();
--- a/lib/control/feedduty.cpp
+++ b/lib/control/feedduty.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::size_t ringCapacity = 32768;
+constexpr std::size_t maxRingBytes = std::size_t{8} * 1024 * 1024;
 constexpr Duration tickInterval = std::chrono::milliseconds(50);
 constexpr Duration proofInterval = std::chrono::milliseconds(250);
 constexpr Duration deathCheckInterval = std::chrono::milliseconds(500);
@@ -56,19 +57,30 @@
     , m_maxListAge(settings.maxListAge)
     , m_publishesMembers(settings.publishesMembers)
     , m_instanceLease(settings.instanceLease)
-    , m_ring(ringCapacity)
+    , m_ring(ringCapacity, maxRingBytes, bytesOf)
 { }
 
+std::size_t FeedDuty::bytesOf(const Event &event)
+{
+    if (const auto *change = std::get_if<Changed>(&event))
+        return change->bytes;
+    if (const auto *entry = std::get_if<FromEntry>(&event))
+        return entry->frame.body.size();
+    const auto *member = std::get_if<FromMember>(&event);
+    const auto *forward = member ? std::get_if<ForwardChange>(&member->message) : nullptr;
+    return forward ? forward->change.size() : 0;
+}
+
 void FeedDuty::push(Event event)
 {
     if (!m_ring.tryPush(std::move(event)))
         ++m_framesDropped;
 }
 
-void FeedDuty::changed(const feed::ChangeAt &change)
+void FeedDuty::changed(const feed::ChangeAt &change, std::size_t bytes)
 {
     // A lost change would leave a gap in the feed, so all subscribers must subscribe again.
-    if (!m_ring.tryPush(change))
+    if (!m_ring.tryPush(Changed{change, bytes}))
         m_mustRestart = true;
 }
 
@@ -138,11 +150,11 @@
     m_links.clear();
 }
 
-void FeedDuty::handle(const feed::ChangeAt &event, TimePoint)
+void FeedDuty::handle(const Changed &event, TimePoint)
 {
-    if (event.position <= m_publisher.position())
+    if (event.change.position <= m_publisher.position())
         return;
-    const std::vector<feed::Delivery> deliveries = m_publisher.publish(event);
+    const std::vector<feed::Delivery> deliveries = m_publisher.publish(event.change);
     deliver(deliveries);
     const std::lock_guard<std::mutex> lock(m_mutex);
     for (const feed::Delivery &it : deliveries)
--- a/lib/control/feedduty.h
+++ b/lib/control/feedduty.h
@@ -77,7 +77,8 @@
     void run(const runtime::StopSignal &stop);
 
     // The following functions may be called by any thread.
-    void changed(const feed::ChangeAt &change);
+    /// \p bytes is the size of the encoded change.
+    void changed(const feed::ChangeAt &change, std::size_t bytes);
     void restored();
     void closed(wire::LinkId link);
     void receive(const wire::Peer &peer, const wire::Frame &frame);
@@ -87,6 +88,11 @@
     FeedCounts counts() const;
 
 private:
+    struct Changed
+    {
+        feed::ChangeAt change;
+        std::size_t bytes = 0;
+    };
     struct Closed
     {
         wire::LinkId link = 0;
@@ -102,10 +108,11 @@
         std::string member;
         MemberMessage message;
     };
-    using Event = std::variant<feed::ChangeAt, Closed, FromEntry, FromMember, PlatformList>;
+    using Event = std::variant<Changed, Closed, FromEntry, FromMember, PlatformList>;
 
+    static std::size_t bytesOf(const Event &event);
     void push(Event event);
-    void handle(const feed::ChangeAt &event, TimePoint now);
+    void handle(const Changed &event, TimePoint now);
     void handle(const Closed &event, TimePoint now);
     void handle(const FromEntry &event, TimePoint now);
     void handle(const FromMember &event, TimePoint now);
--- a/lib/control/logduty.cpp
+++ b/lib/control/logduty.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::size_t ringCapacity = 4096;
+constexpr std::size_t maxRingBytes = std::size_t{8} * 1024 * 1024;
 constexpr std::size_t maxEventsPerPass = 256;
 constexpr Duration passInterval = std::chrono::milliseconds(20);
 /// An older command or query is answered with a timeout error.
@@ -26,9 +27,19 @@
     : m_settings(std::move(settings))
     , m_machine(std::move(machine))
     , m_links(std::move(links))
-    , m_ring(ringCapacity)
+    , m_ring(ringCapacity, maxRingBytes, bytesOf)
 { }
 
+std::size_t LogDuty::bytesOf(const Event &event)
+{
+    if (const auto *command = std::get_if<Command>(&event))
+        return command->data.size();
+    if (const auto *query = std::get_if<Query>(&event))
+        return query->data.size();
+    const auto *message = std::get_if<consensus::Message>(&event);
+    return message ? consensus::contentBytes(*message) : 0;
+}
+
 Result<void> LogDuty::open(storage::DataFolder &folder)
 {
     BOOST_LEAF_AUTO(group, consensus::Group::open(folder, m_settings.group, monotonicNow()));
--- a/lib/control/logduty.h
+++ b/lib/control/logduty.h
@@ -136,6 +136,8 @@
     };
     using Event = std::variant<Command, Query, consensus::Message, MembershipStatus, Admit, Remove>;
 
+    static std::size_t bytesOf(const Event &event);
+
     struct PendingQuery
     {
         std::string data;
--- a/lib/entry/fleetanswers.cpp
+++ b/lib/entry/fleetanswers.cpp
@@ -10,6 +10,7 @@
 
 constexpr const char *frameKind = "answers";
 constexpr std::size_t maxWaitingFrames = 8192;
+constexpr std::size_t maxWaitingBytes = std::size_t{8} * 1024 * 1024;
 // How often answers that others read are looked at, and how long the duty sleeps without any.
 constexpr Duration pumpInterval = std::chrono::milliseconds(5);
 constexpr Duration idleInterval = std::chrono::milliseconds(100);
@@ -61,7 +62,10 @@
                                         {{"channel", "answers"}}))
     , m_searches(metrics.histogram("kumquathaven_answers_search_seconds",
                                    "time to find out whether another entry holds an answer"))
-    , m_ring(maxWaitingFrames)
+    , m_ring(maxWaitingFrames, maxWaitingBytes,
+             [](const Received &it) {
+                 return it.body.size();
+             })
     , m_offered(joins,
                 [this](const std::string &to, const answers::FleetMessage &message) {
                     return send(to, message);
--- a/lib/entry/fleetlimits.cpp
+++ b/lib/entry/fleetlimits.cpp
@@ -11,6 +11,7 @@
 constexpr Duration tickInterval = std::chrono::milliseconds(5);
 /// Frames of other entries that may wait. What does not fit is repeated by its sender.
 constexpr std::size_t maxWaitingFrames = 8192;
+constexpr std::size_t maxWaitingBytes = std::size_t{8} * 1024 * 1024;
 /// Beyond what the limits themselves wait.
 constexpr Duration decisionMargin = std::chrono::seconds(2);
 
@@ -92,7 +93,10 @@
                                 "requests refused because their customer's rate is used up"))
     , m_waits(metrics.histogram("kumquathaven_limits_wait_seconds", "wait for tokens"))
     , m_homes(metrics.gauge("kumquathaven_limits_homes", "buckets that this entry is the home of"))
-    , m_ring(maxWaitingFrames)
+    , m_ring(maxWaitingFrames, maxWaitingBytes,
+             [](const Received &it) {
+                 return it.body.size();
+             })
     , m_node(limits::makeNode(settings.instance, incarnation, configOf(settings)))
 {
     wire::ChannelHandlers handlers;
--- a/lib/feed/client.cpp
+++ b/lib/feed/client.cpp
@@ -23,6 +23,7 @@
 namespace {
 
 constexpr std::size_t ringCapacity = 8192;
+constexpr std::size_t maxRingBytes = std::size_t{8} * 1024 * 1024;
 constexpr Duration tickInterval = std::chrono::milliseconds(100);
 /// Time allowed for the departure message to leave the process before the links are closed.
 constexpr Duration departureDelay = std::chrono::milliseconds(100);
@@ -125,7 +126,9 @@
     wire::Hub &m_hub;
     catalogue::View &m_view;
     Follower m_follower;
-    BoundedRing<Event> m_ring{ringCapacity};
+    BoundedRing<Event> m_ring{ringCapacity, maxRingBytes, [](const Event &event) {
+                                  return event.frame.body.size();
+                              }};
     std::size_t m_member;
     std::function<void(std::uint64_t, const std::string &)> m_ledgerAnswerHandler;
     /// The link to control, read by senders of commands on any thread, and whether a command was
--- a/unittests/base/basetest.cpp
+++ b/unittests/base/basetest.cpp
@@ -24,6 +24,23 @@
     CHECK_FALSE(ring.pop(Duration(0)).has_value());
 }
 
+// Guards against a queue whose elements are few and large.
+TEST_CASE("a ring with a bound of bytes is full once its elements hold that many")
+{
+    BoundedRing<std::string> ring(100, 10, [](const std::string &it) {
+        return it.size();
+    });
+    CHECK(ring.tryPush("123456789"));
+    CHECK(ring.tryPush("an element is accepted whole"));
+    CHECK_FALSE(ring.tryPush(""));
+    CHECK(ring.bytes() == 37);
+    CHECK(ring.pop(Duration(0)) == "123456789");
+    CHECK_FALSE(ring.tryPush("x"));
+    CHECK(ring.pop(Duration(0)).has_value());
+    CHECK(ring.bytes() == 0);
+    CHECK(ring.tryPush("x"));
+}
+
 TEST_CASE("closing a ring wakes the thread that waits on it")
 {
     BoundedRing<int> ring(1);
--- a/unittests/control/orderstest.cpp
+++ b/unittests/control/orderstest.cpp
@@ -23,7 +23,7 @@
 struct Member
 {
     int fed = 0;
-    CatalogueMachine machine{[this](const feed::ChangeAt &) {
+    CatalogueMachine machine{[this](const feed::ChangeAt &, std::size_t) {
                                  ++fed;
                              },
                              [] {}};
