Links: the queues of all accepted links together are bounded by the machine's memory

Cause: each link might queue 64 MB, and their number depends on the peers. Entries with a slow or frozen connection during a series of large changes would fill the memory of a control member or of a relay, whose machine has 96 MB. Change: accepted links together queue at most an eighth of the process's memory. Frames above 64 KiB use three quarters of that, so that proofs and answers of the ledger pass. A metric tells the bytes.

--- a/include/kumquathaven/runtime/processbudget.h
+++ b/include/kumquathaven/runtime/processbudget.h
@@ -15,6 +15,10 @@
 /// Returns the budget of all peers of a process with these settings.
 std::shared_ptr<budget::PeerBudget> processBudget(const settings::Settings &settings);
 
+/// Returns the bytes that a process with these settings may queue on all links that other instances
+/// opened to it.
+std::size_t acceptedLinkBytes(const settings::Settings &settings);
+
 /// Returns the connections that one server beside the callers' one may have open.
 std::uint32_t operatorConnections(const settings::Settings &settings);
 
--- a/include/kumquathaven/wire/hub.h
+++ b/include/kumquathaven/wire/hub.h
@@ -41,6 +41,10 @@
     std::size_t maxMessageBytes = 32UL * 1024 * 1024;
     /// Maximum number of bytes queued on one link. A send that would exceed it is refused.
     std::size_t maxQueuedBytes = 64UL * 1024 * 1024;
+    /// Maximum number of bytes queued on all accepted links together, of which frames above 64 KiB
+    /// use at most three quarters. Their number depends on the peers, so that a bound for each of
+    /// them does not bound the process. While nothing is queued any frame is accepted.
+    std::size_t maxAcceptedBytes = 64UL * 1024 * 1024;
     /// Maximum number of accepted links. Further links are closed at once.
     std::size_t maxAcceptedLinks = 8192;
     /// Time without anything received from a peer after which it is sent a ping, and interval of
@@ -63,11 +67,13 @@
     std::function<void(const Peer &, const Frame &)> received;
 };
 
-/// Counters since the start of the hub, except for openLinks, which is the present number. Bytes
-/// are counted without the overhead of the transport.
+/// Counters since the start of the hub, except for openLinks and acceptedBytes, the bytes queued on
+/// accepted links, which are the present numbers. Bytes are counted without the overhead of the
+/// transport.
 struct HubCounters
 {
     std::uint64_t openLinks = 0;
+    std::uint64_t acceptedBytes = 0;
     std::uint64_t framesSent = 0;
     std::uint64_t framesReceived = 0;
     /// Pings sent. They do not count as frames.
--- a/lib/control/controlrole.cpp
+++ b/lib/control/controlrole.cpp
@@ -70,6 +70,7 @@
     wire::HubOptions options;
     options.name = settings.instance;
     options.secret = settings.linkSecret;
+    options.maxAcceptedBytes = runtime::acceptedLinkBytes(settings);
     return options;
 }
 
--- a/lib/control/operators.cpp
+++ b/lib/control/operators.cpp
@@ -257,6 +257,8 @@
     set("link_frames_received", "frames received", static_cast<double>(hub.framesReceived));
     set("link_bytes_sent", "bytes sent", static_cast<double>(hub.bytesSent));
     set("link_bytes_received", "bytes received", static_cast<double>(hub.bytesReceived));
+    set("link_accepted_bytes", "bytes queued on links that others opened",
+        static_cast<double>(hub.acceptedBytes));
     set("link_sends_refused", "sends refused", static_cast<double>(hub.sendsRefused));
     set("link_peers_refused", "peers refused", static_cast<double>(hub.peersRefused));
     set("link_peers_silent", "links closed for silence", static_cast<double>(hub.peersSilent));
--- a/lib/entry/entryrole.cpp
+++ b/lib/entry/entryrole.cpp
@@ -64,6 +64,7 @@
     wire::HubOptions options;
     options.name = settings.instance;
     options.secret = settings.linkSecret;
+    options.maxAcceptedBytes = runtime::acceptedLinkBytes(settings);
     options.seed = incarnation;
     return options;
 }
--- a/lib/runtime/processbudget.cpp
+++ b/lib/runtime/processbudget.cpp
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr double megabyte = 1000.0 * 1000.0;
+/// The share of a process's memory for what is queued on links that other instances opened.
+constexpr double acceptedLinksShare = 0.125;
+constexpr std::size_t minAcceptedLinkBytes = std::size_t{4} * 1024 * 1024;
 /// Each of the servers for operators, probes and metrics gets this part of the descriptors.
 constexpr std::uint32_t operatorsPart = 8;
 constexpr std::uint32_t minConnections = 8;
@@ -25,13 +28,23 @@
     return static_cast<std::uint32_t>(std::min(limit.rlim_cur, most));
 }
 
+double memoryBytesOf(const settings::Settings &settings)
+{
+    return settings.platform ? settings.platform->memoryMb * megabyte
+                             : static_cast<double>(settings.bounds.memoryBytes);
+}
+
 } // namespace
 
 std::shared_ptr<budget::PeerBudget> processBudget(const settings::Settings &settings)
 {
-    const double bytes = settings.platform ? settings.platform->memoryMb * megabyte
-                                           : static_cast<double>(settings.bounds.memoryBytes);
-    return std::make_shared<budget::PeerBudget>(budget::bytesForPeers(bytes));
+    return std::make_shared<budget::PeerBudget>(budget::bytesForPeers(memoryBytesOf(settings)));
+}
+
+std::size_t acceptedLinkBytes(const settings::Settings &settings)
+{
+    return std::max(minAcceptedLinkBytes,
+                    static_cast<std::size_t>(memoryBytesOf(settings) * acceptedLinksShare));
 }
 
 std::uint32_t operatorConnections(const settings::Settings &settings)
--- a/lib/wire/hub.cpp
+++ b/lib/wire/hub.cpp
@@ -10,6 +10,8 @@
 
 constexpr Duration tickInterval = std::chrono::milliseconds(100);
 constexpr unsigned maxDoublings = 10;
+/// Larger frames leave a part of the queues of accepted links to smaller ones, such as proofs.
+constexpr std::size_t maxSmallFrameBytes = std::size_t{64} * 1024;
 
 Error linkError(ErrorCode code, const std::string &step, const std::string &peer,
                 const std::string &message)
@@ -198,13 +200,13 @@
         ++m_counters.sendsRefused;
         return fail(linkError(ErrorCode::TooLarge, "wire.send", name, "the frame is too large"));
     }
-    if (link->postedBytes + link->bufferedBytes + bytes->size() > m_options.maxQueuedBytes) {
+    if (!hasRoom(*link, bytes->size())) {
         ++m_counters.sendsRefused;
         return fail(linkError(ErrorCode::Overloaded, "wire.send", name, "the queue is full"));
     }
-    link->postedBytes += bytes->size();
+    countPosted(*link, bytes->size());
     boost::asio::post(m_io, [this, link, bytes] {
-        link->postedBytes -= bytes->size();
+        countUnposted(*link, bytes->size());
         if (link->open) {
             ++m_counters.framesSent;
             write(link, *bytes);
@@ -213,10 +215,46 @@
     return {};
 }
 
+bool Hub::Impl::hasRoom(const Link &link, std::size_t bytes) const
+{
+    if (link.postedBytes + link.bufferedBytes + bytes > m_options.maxQueuedBytes)
+        return false;
+    const std::size_t queued = m_counters.acceptedBytes;
+    if (link.outgoing || queued == 0)
+        return true;
+    const std::size_t most = m_options.maxAcceptedBytes;
+    return queued + bytes <= (bytes > maxSmallFrameBytes ? most / 4 * 3 : most);
+}
+
+void Hub::Impl::countPosted(Link &link, std::size_t bytes)
+{
+    link.postedBytes += bytes;
+    if (!link.outgoing)
+        m_counters.acceptedBytes += bytes;
+}
+
+void Hub::Impl::countUnposted(Link &link, std::size_t bytes)
+{
+    link.postedBytes -= bytes;
+    if (!link.outgoing)
+        m_counters.acceptedBytes -= bytes;
+}
+
+/// Records what the transport of a link holds. Called on the hub's thread only.
+void Hub::Impl::setBuffered(Link &link, std::size_t bytes)
+{
+    const std::size_t before = link.bufferedBytes.exchange(bytes);
+    if (!link.outgoing) {
+        m_counters.acceptedBytes += bytes;
+        m_counters.acceptedBytes -= before;
+    }
+}
+
 HubCounters Hub::Impl::counters() const
 {
     HubCounters copy;
     copy.openLinks = m_counters.openLinks;
+    copy.acceptedBytes = m_counters.acceptedBytes;
     copy.framesSent = m_counters.framesSent;
     copy.framesReceived = m_counters.framesReceived;
     copy.pingsSent = m_counters.pingsSent;
@@ -289,7 +327,7 @@
             startConnect(link);
         return;
     }
-    link->bufferedBytes = link->connection->get_buffered_amount();
+    setBuffered(*link, link->connection->get_buffered_amount());
     if (link->quiet)
         return;
     const Duration silence = now - link->lastReceivedAt;
--- a/lib/wire/hubimpl.h
+++ b/lib/wire/hubimpl.h
@@ -78,6 +78,10 @@
     void receiveProof(const LinkPtr &link, const std::string &bytes);
     void deliver(const LinkPtr &link, const std::string &bytes);
     void write(const LinkPtr &link, const std::string &bytes);
+    bool hasRoom(const Link &link, std::size_t bytes) const;
+    void countPosted(Link &link, std::size_t bytes);
+    void countUnposted(Link &link, std::size_t bytes);
+    void setBuffered(Link &link, std::size_t bytes);
     /// Closes a link because of a protocol violation or a wrong proof.
     void refuse(const LinkPtr &link);
     /// Closes a link's connection. An outgoing link is reconnected later unless it was removed.
@@ -110,6 +114,7 @@
     struct
     {
         std::atomic<std::uint64_t> openLinks{0};
+        std::atomic<std::uint64_t> acceptedBytes{0};
         std::atomic<std::uint64_t> framesSent{0};
         std::atomic<std::uint64_t> framesReceived{0};
         std::atomic<std::uint64_t> pingsSent{0};
--- a/lib/wire/links.cpp
+++ b/lib/wire/links.cpp
@@ -192,7 +192,7 @@
     m_counters.bytesSent += bytes.size();
     const websocketpp::lib::error_code ec =
         link->connection->send(bytes, websocketpp::frame::opcode::binary);
-    link->bufferedBytes = link->connection->get_buffered_amount();
+    setBuffered(*link, link->connection->get_buffered_amount());
     if (ec)
         drop(link);
 }
@@ -207,7 +207,7 @@
 {
     const ConnectionPtr connection = std::move(link->connection);
     link->connection.reset();
-    link->bufferedBytes = 0;
+    setBuffered(*link, 0);
     if (link->open.exchange(false)) {
         --m_counters.openLinks;
         for (const ChannelHandlers &it : m_handlers) {
--- a/unittests/wire/hubtest.cpp
+++ b/unittests/wire/hubtest.cpp
@@ -9,8 +9,11 @@
 #include <sys/socket.h>
 
 #include <arpa/inet.h>
+#include <memory>
+#include <mutex>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 
 using namespace kumquathaven;
 using namespace kumquathaven::wire;
@@ -62,8 +65,8 @@
 struct Node
 {
     explicit Node(const std::string &name, const std::string &secret = "secret",
-                  std::size_t maxQueuedBytes = 1 << 20)
-        : hub(options(name, secret, maxQueuedBytes))
+                  std::size_t maxQueuedBytes = 1 << 20, std::size_t maxAcceptedBytes = 1 << 26)
+        : hub(options(name, secret, maxQueuedBytes, maxAcceptedBytes))
     {
         hub.handle(Channel::Feed,
                    {[this](const Peer &peer) {
@@ -73,16 +76,18 @@
                         events.tryPush({"closed", peer, {}});
                     },
                     [this](const Peer &peer, const Frame &frame) {
+                        const std::lock_guard<std::mutex> lock(reading);
                         events.tryPush({"received", peer, frame});
                     }});
     }
     static HubOptions options(const std::string &name, const std::string &secret,
-                              std::size_t maxQueuedBytes)
+                              std::size_t maxQueuedBytes, std::size_t maxAcceptedBytes)
     {
         HubOptions options;
         options.name = name;
         options.secret = secret;
         options.maxQueuedBytes = maxQueuedBytes;
+        options.maxAcceptedBytes = maxAcceptedBytes;
         options.maxMessageBytes = 1 << 20;
         options.pingInterval = std::chrono::milliseconds(100);
         options.silenceTimeout = std::chrono::milliseconds(600);
@@ -117,6 +122,8 @@
             });
     }
     BoundedRing<Event> events{1024};
+    /// While a test holds it, the hub's thread stops at the next frame and reads nothing.
+    std::mutex reading;
     Hub hub;
 };
 
@@ -179,6 +186,47 @@
     CHECK(server.next("received").frame.body.size() == 500000);
 }
 
+// Guards against many peers that read slowly and together fill the memory of a process.
+TEST_CASE("the queues of all accepted links together are bounded, with a reserve for small frames")
+{
+    constexpr std::size_t maxBytes = 4'000'000;
+    constexpr std::size_t frameBytes = 400'000;
+    constexpr std::size_t peers = 4;
+    const settings::Address address = freeAddress();
+    Node server("control-1", "secret", 1 << 26, maxBytes);
+    server.start(address);
+    std::vector<std::unique_ptr<Node>> clients;
+    std::vector<std::unique_lock<std::mutex>> stalled;
+    std::vector<LinkId> links;
+    for (std::size_t n = 0; n < peers; ++n) {
+        clients.push_back(std::make_unique<Node>("entry-" + std::to_string(n)));
+        clients[n]->start();
+        clients[n]->hub.connect(address);
+        links.push_back(server.next("opened").peer.link);
+        server.hub.setQuiet(links.back(), true);
+        stalled.emplace_back(clients[n]->reading);
+    }
+    const Frame large{Channel::Feed, "k", std::string(frameBytes, 'x')};
+    const Frame small{Channel::Feed, "k", "x"};
+    const TimePoint end = monotonicNow() + eventTimeout;
+    std::size_t refused = 0;
+    std::size_t most = 0;
+    // The sockets of a peer take a few megabytes until they are full.
+    while (refused < 20 && monotonicNow() < end) {
+        for (const LinkId it : links)
+            refused += server.send(it, large) == "overloaded" ? 1 : 0;
+        most = std::max(most, static_cast<std::size_t>(server.hub.counters().acceptedBytes));
+    }
+    CHECK(refused >= 20);
+    CHECK(most <= maxBytes);
+    CHECK(server.send(links.front(), small).empty());
+    stalled.clear();
+    while (server.hub.counters().acceptedBytes > 0 && monotonicNow() < end)
+        std::this_thread::sleep_for(pollInterval);
+    CHECK(server.hub.counters().acceptedBytes == 0);
+    CHECK(server.send(links.front(), large).empty());
+}
+
 TEST_CASE("a peer that accepts and stays silent is disconnected")
 {
     BoundSocket silent;
