Links: a link that keeps up takes one more frame, whatever others have queued

Cause: a change is sent to all subscribers at once. With the bound of a change of 542 KB would have disconnected subscribers that keep up: 64 of them at one member with 256 MB, or 16 at a relay with 96 MB, take more than three quarters of an eighth of the memory. Change: a link that has at most 64 KiB queued takes a frame in any case.

--- a/include/kumquathaven/wire/hub.h
+++ b/include/kumquathaven/wire/hub.h
@@ -43,7 +43,8 @@
     std::size_t maxQueuedBytes = 64UL * 1024 * 1024;
     /// Maximum number of bytes queued on all accepted links together, of which frames above 64 KiB
     /// use at most three quarters. Their number depends on the peers, so that a bound for each of
-    /// them does not bound the process. While nothing is queued any frame is accepted.
+    /// them does not bound the process. A link with at most 64 KiB queued takes one more frame in
+    /// any case, so that one frame for each link may come on top.
     std::size_t maxAcceptedBytes = 64UL * 1024 * 1024;
     /// Maximum number of accepted links. Further links are closed at once.
     std::size_t maxAcceptedLinks = 8192;
--- a/lib/wire/hub.cpp
+++ b/lib/wire/hub.cpp
@@ -10,7 +10,8 @@
 
 constexpr Duration tickInterval = std::chrono::milliseconds(100);
 constexpr unsigned maxDoublings = 10;
-/// Larger frames leave a part of the queues of accepted links to smaller ones, such as proofs.
+/// Larger frames leave a part of the queues of accepted links to smaller ones, such as proofs. A
+/// link that has no more than this queued keeps up with what it is sent.
 constexpr std::size_t maxSmallFrameBytes = std::size_t{64} * 1024;
 
 Error linkError(ErrorCode code, const std::string &step, const std::string &peer,
@@ -217,13 +218,15 @@
 
 bool Hub::Impl::hasRoom(const Link &link, std::size_t bytes) const
 {
-    if (link.postedBytes + link.bufferedBytes + bytes > m_options.maxQueuedBytes)
+    const std::size_t queued = link.postedBytes + link.bufferedBytes;
+    if (queued + bytes > m_options.maxQueuedBytes)
         return false;
-    const std::size_t queued = m_counters.acceptedBytes;
-    if (link.outgoing || queued == 0)
+    // One change for many subscribers must not disconnect those that keep up.
+    if (link.outgoing || queued <= maxSmallFrameBytes)
         return true;
     const std::size_t most = m_options.maxAcceptedBytes;
-    return queued + bytes <= (bytes > maxSmallFrameBytes ? most / 4 * 3 : most);
+    const std::size_t available = bytes > maxSmallFrameBytes ? most / 4 * 3 : most;
+    return m_counters.acceptedBytes + bytes <= available;
 }
 
 void Hub::Impl::countPosted(Link &link, std::size_t bytes)
