Logs: a declaration has a line when a member sends it and when an entry receives it

Change: members log "declaration sent" with version, position, bytes and subscribers, entries "declaration received" with version, position and source.

--- a/lib/control/feedduty.cpp
+++ b/lib/control/feedduty.cpp
@@ -1,6 +1,7 @@
 #include "feedduty.h"
 
 #include "kumquathaven/catalogue/json.h"
+#include "kumquathaven/telemetry/log.h"
 
 #include <algorithm>
 
@@ -156,11 +157,32 @@
         return;
     const std::vector<feed::Delivery> deliveries = m_publisher.publish(event.change);
     deliver(deliveries);
+    logDeclaration(event.change, deliveries);
     const std::lock_guard<std::mutex> lock(m_mutex);
     for (const feed::Delivery &it : deliveries)
         m_counts.changesSent += it.subscribers.size();
 }
 
+/// Logs the sending of a declaration, a step between its acknowledgement and its use at entries.
+void FeedDuty::logDeclaration(const feed::ChangeAt &change,
+                              const std::vector<feed::Delivery> &deliveries)
+{
+    const auto *declare = std::get_if<catalogue::Declare>(&change.change.body);
+    if (!declare)
+        return;
+    std::size_t bytes = 0;
+    std::size_t subscribers = 0;
+    for (const feed::Delivery &it : deliveries) {
+        bytes = std::max(bytes, it.frame.body.size());
+        subscribers += it.subscribers.size();
+    }
+    telemetry::logLine(telemetry::LogLevel::Info, "feed", "declaration sent",
+                       {{"version", std::to_string(declare->declaration.version)},
+                        {"position", std::to_string(change.position)},
+                        {"frameBytes", std::to_string(bytes)},
+                        {"subscribers", std::to_string(subscribers)}});
+}
+
 void FeedDuty::handle(const Closed &event, TimePoint)
 {
     m_publisher.remove(event.link);
--- a/lib/control/feedduty.h
+++ b/lib/control/feedduty.h
@@ -123,6 +123,8 @@
     void answerProof(wire::LinkId link, std::uint64_t number, TimePoint now);
     const wire::Frame &stateFrame(TimePoint now);
     void restartFeed();
+    void logDeclaration(const feed::ChangeAt &change,
+                        const std::vector<feed::Delivery> &deliveries);
     void tick(TimePoint now);
     void requestProof(TimePoint now);
     void declareDead(const LogStatus &status, TimePoint now);
--- a/lib/feed/client.cpp
+++ b/lib/feed/client.cpp
@@ -117,6 +117,7 @@
     void changeLinks(const FollowerEffects &effects);
     void deliver(const std::vector<Delivery> &deliveries);
     void followMembers(const catalogue::Catalogue &catalogue);
+    void logDeclaration(const catalogue::Declaration &declaration);
     void nextMember();
     void drop(wire::LinkId &link);
 
@@ -126,6 +127,8 @@
     wire::Hub &m_hub;
     catalogue::View &m_view;
     Follower m_follower;
+    /// Version of the newest declaration received.
+    std::uint64_t m_declarationVersion = 0;
     BoundedRing<Event> m_ring{ringCapacity, maxRingBytes, [](const Event &event) {
                                   return event.frame.body.size();
                               }};
@@ -346,6 +349,7 @@
         m_hub.setQuiet(m_control, *effects.quietControl);
     if (effects.snapshot) {
         followMembers(*effects.snapshot->catalogue);
+        logDeclaration(effects.snapshot->catalogue->declaration);
         m_view.offer(*effects.snapshot);
     }
     for (const FollowerEffects::OutgoingMessage &it : effects.messages) {
@@ -394,6 +398,18 @@
     }
 }
 
+/// Logs the arrival of a declaration, a step between its acknowledgement and its use.
+void FeedClient::Impl::logDeclaration(const catalogue::Declaration &declaration)
+{
+    if (declaration.version == m_declarationVersion)
+        return;
+    m_declarationVersion = declaration.version;
+    telemetry::logLine(telemetry::LogLevel::Info, "feed", "declaration received",
+                       {{"version", std::to_string(declaration.version)},
+                        {"position", std::to_string(m_follower.position())},
+                        {"source", m_follower.relay().empty() ? "control" : m_follower.relay()}});
+}
+
 /// Adopts the control members that the control state lists.
 void FeedClient::Impl::followMembers(const catalogue::Catalogue &catalogue)
 {
