Feed: a declaration is sent as its difference from the one before

What callers saw: 404 and 401 for routes and keys whose version had been acknowledged up to 9 s before (CONFIG, DENIED). Cause: each change was sent as the whole declaration. With 396 kB and a change each 0.6 s that is 5.3 of the 7.5 Mbit/s of an entry; a relay would send it to each child. Change: catalogue::difference finds common blocks of two texts; the publisher sends a patch to subscribers that say they read it, with the position, version and a hash of the text; a patch that does not fit leads to the whole state, as a change that does not fit does. Subscribers of the version before get whole declarations. Members, relays and both data paths share this code. The texts of the test of retained bytes have no common parts now, since equal ones cost nothing as patches; its checks are the same.

--- a/include/kumquathaven/catalogue/catalogue.h
+++ b/include/kumquathaven/catalogue/catalogue.h
@@ -130,6 +130,9 @@
     std::shared_ptr<const std::string> text;
 };
 
+/// Maximum size of the text of a declaration. One of thousands of routes stays below it.
+constexpr std::size_t maxDeclarationBytes = std::size_t{8} * 1024 * 1024;
+
 /// The weights that an engine found by discovery was last ordered to serve.
 struct ServerWeights
 {
--- a/include/kumquathaven/feed/messages.h
+++ b/include/kumquathaven/feed/messages.h
@@ -8,9 +8,11 @@
 #include "kumquathaven/base/time.h"
 #include "kumquathaven/catalogue/change.h"
 #include "kumquathaven/catalogue/state.h"
+#include "kumquathaven/catalogue/textpatch.h"
 #include "kumquathaven/release/release.h"
 #include "kumquathaven/wire/frame.h"
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <variant>
@@ -28,6 +30,9 @@
     /// Whether a complete state, if one is needed, must come from the receiver itself rather than
     /// from a relay that a Redirect names.
     bool noRedirect = false;
+    /// Whether the subscriber reads patches of declarations. A receiver of the version before takes
+    /// this for noRedirect.
+    bool readsPatches = false;
 };
 
 /// The last time an instance was known to be alive, as reported by a relay above it.
@@ -104,6 +109,22 @@
     catalogue::Change change;
     std::uint64_t revision = 0;
     std::uint64_t epoch = 0;
+    /// Declarations: the difference from the declaration before, if it is known. It is not part of
+    /// the encoded message.
+    std::shared_ptr<const catalogue::TextPatch> patch = nullptr;
+};
+
+/// An accepted declaration, as the difference from the one at the position before. It is sent to
+/// subscribers that read patches, and costs as many bytes as were changed.
+struct DeclarationPatchAt
+{
+    std::uint64_t position = 0;
+    std::uint64_t revision = 0;
+    std::uint64_t epoch = 0;
+    std::uint64_t version = 0;
+    /// Hash of the text that results.
+    std::uint64_t textHash = 0;
+    catalogue::TextPatch patch;
 };
 
 /// Proves that \p age ago no change after \p position had been accepted.
@@ -132,7 +153,7 @@
 };
 
 using Message = std::variant<Subscribe, ProofRequest, Announce, Leave, StateAt, ChangeAt, Proof,
-                             Unsubscribe, Redirect, RolloutReport>;
+                             Unsubscribe, Redirect, RolloutReport, DeclarationPatchAt>;
 
 /// Returns the frame that carries a message.
 wire::Frame toFrame(const Message &message);
--- a/include/kumquathaven/feed/publisher.h
+++ b/include/kumquathaven/feed/publisher.h
@@ -8,7 +8,10 @@
 
 #include <deque>
 #include <functional>
-#include <set>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace kumquathaven::feed {
@@ -29,21 +32,22 @@
 constexpr std::size_t maxRetainedChanges = 2048;
 constexpr std::size_t maxRetainedBytes = std::size_t{4} * 1024 * 1024;
 
-/// Retains the newest changes and knows the current subscribers.
+/// Retains the newest changes and knows the current subscribers. A declaration is sent as the
+/// difference from the one before to subscribers that read patches.
 class Publisher
 {
 public:
-    /// Restarts at the position of a snapshot of the control state. Changes retained from before it
-    /// are discarded.
-    void restart(std::uint64_t position);
+    /// Restarts at the position of a snapshot of the control state, which has \p declaration.
+    /// Changes retained from before it are discarded.
+    void restart(std::uint64_t position, const catalogue::Declaration &declaration = {});
 
     /// Publishes an accepted change and returns what to send.
     std::vector<Delivery> publish(const ChangeAt &change);
 
-    /// Subscribes \p subscriber to all changes after \p position and returns what to send to it.
-    /// \p state returns the frame with the current state; it is called if the subscriber holds none
-    /// or the retained changes do not reach back to the position.
-    std::vector<Delivery> subscribe(SubscriberId subscriber, std::uint64_t position,
+    /// Subscribes \p subscriber to all changes after the position that it holds and returns what to
+    /// send to it. \p state returns the frame with the current state; it is sent if the subscriber
+    /// holds none, cannot read a retained change, or the retained changes do not reach back.
+    std::vector<Delivery> subscribe(SubscriberId subscriber, const Subscribe &request,
                                     const std::function<wire::Frame()> &state);
 
     /// Removes a subscriber, for example because its link closed.
@@ -60,14 +64,20 @@
     {
         std::uint64_t position = 0;
         wire::Frame frame;
+        bool isPatch = false;
     };
 
+    std::optional<wire::Frame> patchFrame(const ChangeAt &change);
+
     std::uint64_t m_position = 0;
     /// Every change after this position is retained.
     std::uint64_t m_retainedAfter = 0;
     std::deque<RetainedChange> m_retained;
     std::size_t m_retainedBytes = 0;
-    std::set<SubscriberId> m_subscribers;
+    /// Whether each subscriber reads patches.
+    std::map<SubscriberId, bool> m_subscribers;
+    /// Text of the declaration at the position; null if it is not known.
+    std::shared_ptr<const std::string> m_declaration;
 };
 
 } // namespace kumquathaven::feed
--- a/include/kumquathaven/feed/relay.h
+++ b/include/kumquathaven/feed/relay.h
@@ -48,6 +48,7 @@
     /// Handles a complete state that the instance adopted. Its children are sent the state too,
     /// because the changes before it are missing; \p state returns its frame.
     std::vector<Delivery> restored(std::uint64_t position,
+                                   const catalogue::Declaration &declaration,
                                    const std::function<wire::Frame()> &state);
 
     /// Handles a message from a child. \p state returns the frame with the current state.
--- a/include/kumquathaven/feed/subscriber.h
+++ b/include/kumquathaven/feed/subscriber.h
@@ -85,6 +85,7 @@
     /// there is none.
     TimePoint provenAt() const { return std::max(m_proofs.provenAt(), m_controlProvenAt); }
     const catalogue::Instances &instances() const { return *m_snapshot.instances; }
+    const catalogue::Declaration &declaration() const { return m_snapshot.catalogue->declaration; }
     /// Returns the complete state as it is held, for a relay's children.
     StateAt state(TimePoint now) const;
     const catalogue::Instance &self() const { return m_self; }
@@ -103,6 +104,9 @@
 private:
     void handleMessage(const StateAt &message, TimePoint now);
     bool handleMessage(const ChangeAt &message, TimePoint now);
+    std::optional<ChangeAt> changeOf(const DeclarationPatchAt &message) const;
+    void receiveChange(const std::optional<ChangeAt> &change, SubscriberEffects &effects,
+                       TimePoint now);
     void handleMessage(const Proof &message, TimePoint now);
     void recordListing();
     std::uint64_t listedIncarnation() const;
--- a/lib/catalogue/declarationjson.cpp
+++ b/lib/catalogue/declarationjson.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-// A declaration of thousands of routes stays below this size.
-constexpr std::size_t maxDeclarationBytes = std::size_t{8} * 1024 * 1024;
 // Twice the design size of 10,000 servers.
 constexpr std::size_t maxServers = 20'000;
 
--- a/lib/control/feedduty.cpp
+++ b/lib/control/feedduty.cpp
@@ -143,7 +143,8 @@
 
 void FeedDuty::restartFeed()
 {
-    m_publisher.restart(m_machine.published().position);
+    const PublishedState state = m_machine.published();
+    m_publisher.restart(state.position, state.catalogue->declaration);
     for (const wire::LinkId it : m_links) {
         m_publisher.remove(it);
         m_hub.disconnect(it);
@@ -244,7 +245,7 @@
         }
     }
     m_links.insert(link);
-    deliver(m_publisher.subscribe(link, subscribe.position, [this, now] {
+    deliver(m_publisher.subscribe(link, subscribe, [this, now] {
         return stateFrame(now);
     }));
 }
--- a/lib/feed/follower.cpp
+++ b/lib/feed/follower.cpp
@@ -165,9 +165,10 @@
     if (changes.appliedChange)
         deliveries = m_relaying.publishChange(*changes.appliedChange);
     if (changes.restored)
-        deliveries = m_relaying.restored(m_subscriber.position(), [this, now] {
-            return toFrame(m_subscriber.state(now));
-        });
+        deliveries =
+            m_relaying.restored(m_subscriber.position(), m_subscriber.declaration(), [this, now] {
+                return toFrame(m_subscriber.state(now));
+            });
     for (Delivery &it : deliveries)
         effects.deliveries.push_back(std::move(it));
     if (!changes.changeMember)
--- a/lib/feed/messages.cpp
+++ b/lib/feed/messages.cpp
@@ -23,10 +23,11 @@
     Proof,
     Unsubscribe,
     Redirect,
-    RolloutReport
+    RolloutReport,
+    DeclarationPatchAt
 };
 
-constexpr std::array<EnumName<Kind>, 10> kindNames{{
+constexpr std::array<EnumName<Kind>, 11> kindNames{{
     {Kind::Subscribe, "subscribe"},
     {Kind::ProofRequest, "ask"},
     {Kind::Announce, "announce"},
@@ -37,8 +38,13 @@
     {Kind::Unsubscribe, "unsubscribe"},
     {Kind::Redirect, "redirect"},
     {Kind::RolloutReport, "rollout"},
+    {Kind::DeclarationPatchAt, "patch"},
 }};
 
+// The bits of the options of a subscription.
+constexpr unsigned noRedirectBit = 1;
+constexpr unsigned readsPatchesBit = 2;
+
 constexpr Duration maxAge = std::chrono::minutes(10);
 constexpr std::size_t maxNameBytes = 128;
 /// Maximum number of heartbeats in one request.
@@ -57,13 +63,21 @@
     return json::array({counts.sent, counts.failed, counts.delays, counts.cut});
 }
 
+/// Returns bytes that may begin or end inside a character.
+json toBinary(const std::string &bytes)
+{
+    return json::binary(std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
+}
+
 /// Encodes the body of a message. Each body is an array, which is compact: a proof is sent twice a
 /// second to every entry instance.
 struct BodyWriter
 {
     json operator()(const Subscribe &it) const
     {
-        return json::array({it.position, it.noRedirect ? 1U : 0U});
+        return json::array(
+            {it.position,
+             (it.noRedirect ? noRedirectBit : 0U) | (it.readsPatches ? readsPatchesBit : 0U)});
     }
     json operator()(const ProofRequest &it) const
     {
@@ -86,6 +100,14 @@
     {
         return json::array({it.position, catalogue::toJson(it.change), it.revision, it.epoch});
     }
+    json operator()(const DeclarationPatchAt &it) const
+    {
+        json pieces = json::array();
+        for (const catalogue::TextPiece &each : it.patch.pieces)
+            pieces.push_back(json::array({each.offset, each.length, toBinary(each.inserted)}));
+        return json::array(
+            {it.position, it.revision, it.epoch, it.version, it.textHash, std::move(pieces)});
+    }
     json operator()(const Proof &it) const
     {
         return json::array({it.number, it.position, it.age.count()});
@@ -250,6 +272,35 @@
         return routes;
     }
 
+    std::string bytes()
+    {
+        const json *it = next();
+        m_isValid = m_isValid && it && it->is_binary();
+        if (!m_isValid)
+            return {};
+        const auto &binary = it->get_binary();
+        return {binary.begin(), binary.end()};
+    }
+
+    catalogue::TextPatch patch()
+    {
+        catalogue::TextPatch patch;
+        const json *it = next();
+        m_isValid = m_isValid && it && it->is_array();
+        if (!m_isValid)
+            return patch;
+        for (const json &each : *it) {
+            Elements elements(each);
+            catalogue::TextPiece piece;
+            piece.offset = elements.number();
+            piece.length = elements.number();
+            piece.inserted = elements.bytes();
+            m_isValid = m_isValid && elements.isComplete();
+            patch.pieces.push_back(std::move(piece));
+        }
+        return patch;
+    }
+
     /// Skips the elements that a later version may add.
     void skipRest() { m_index = std::max(m_index, m_body.size()); }
 
@@ -281,7 +332,9 @@
     case Kind::Subscribe: {
         Subscribe it;
         it.position = elements.number();
-        it.noRedirect = elements.number() != 0;
+        const std::uint64_t options = elements.number();
+        it.noRedirect = (options & noRedirectBit) != 0;
+        it.readsPatches = (options & readsPatchesBit) != 0;
         return Message(it);
     }
     case Kind::ProofRequest: {
@@ -319,6 +372,17 @@
         it.epoch = elements.number();
         return Message(std::move(it));
     }
+    case Kind::DeclarationPatchAt: {
+        DeclarationPatchAt it;
+        it.position = elements.number();
+        it.revision = elements.number();
+        it.epoch = elements.number();
+        it.version = elements.number();
+        it.textHash = elements.number();
+        it.patch = elements.patch();
+        elements.skipRest();
+        return Message(std::move(it));
+    }
     case Kind::Proof: {
         Proof it;
         it.number = elements.number();
--- a/lib/feed/relay.cpp
+++ b/lib/feed/relay.cpp
@@ -13,9 +13,10 @@
 } // namespace
 
 std::vector<Delivery> Relay::restored(std::uint64_t position,
+                                      const catalogue::Declaration &declaration,
                                       const std::function<wire::Frame()> &state)
 {
-    m_publisher.restart(position);
+    m_publisher.restart(position, declaration);
     if (m_children.empty())
         return {};
     return {{stateFrame(state), {m_children.begin(), m_children.end()}}};
@@ -32,7 +33,7 @@
             return reply;
         }
         m_children.insert(child);
-        reply.deliveries = m_publisher.subscribe(child, subscribe->position, [&] {
+        reply.deliveries = m_publisher.subscribe(child, *subscribe, [&] {
             return stateFrame(state);
         });
     } else if (const auto *request = std::get_if<ProofRequest>(&message)) {
--- a/lib/feed/subscriber.cpp
+++ b/lib/feed/subscriber.cpp
@@ -1,5 +1,7 @@
 #include "kumquathaven/feed/subscriber.h"
 
+#include "kumquathaven/base/hash.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -29,7 +31,7 @@
     m_nextProof = now;
     m_nextAnnounce = now;
     SubscriberEffects effects = tick(now);
-    effects.messages.insert(effects.messages.begin(), Subscribe{m_position, m_noRedirect});
+    effects.messages.insert(effects.messages.begin(), Subscribe{m_position, m_noRedirect, true});
     return effects;
 }
 
@@ -57,13 +59,10 @@
         handleMessage(*state, now);
         effects.restored = m_position > position;
     } else if (const auto *change = std::get_if<ChangeAt>(&message)) {
-        if (!handleMessage(*change, now)) {
-            // The held state does not fit the source's: request the complete state from the source
-            // itself, without a redirect.
-            effects.messages.emplace_back(Subscribe{0, true});
-        }
-        if (m_position > position)
-            effects.appliedChange = *change;
+        receiveChange(*change, effects, now);
+    } else if (const auto *patch = std::get_if<DeclarationPatchAt>(&message)) {
+        if (patch->position > m_position)
+            receiveChange(changeOf(*patch), effects, now);
     } else if (const auto *proof = std::get_if<Proof>(&message)) {
         handleMessage(*proof, now);
     }
@@ -72,6 +71,39 @@
     return effects;
 }
 
+/// Applies a change from the source; without a value it does not fit the held state.
+void Subscriber::receiveChange(const std::optional<ChangeAt> &change, SubscriberEffects &effects,
+                               TimePoint now)
+{
+    const std::uint64_t position = m_position;
+    // If the held state does not fit the source's, the complete state is requested from the source
+    // itself, without a redirect.
+    if (!change || !handleMessage(*change, now))
+        effects.messages.emplace_back(Subscribe{0, true, true});
+    if (m_position > position)
+        effects.appliedChange = change;
+}
+
+/// Returns the change that a patch makes of the held declaration, if it is the declaration that the
+/// patch was made for.
+std::optional<ChangeAt> Subscriber::changeOf(const DeclarationPatchAt &message) const
+{
+    static const std::string none;
+    const std::string &before = declaration().text ? *declaration().text : none;
+    std::optional<std::string> text =
+        catalogue::patched(before, message.patch, catalogue::maxDeclarationBytes);
+    if (!text || stableHash(*text) != message.textHash)
+        return std::nullopt;
+    catalogue::Declare body;
+    body.declaration.version = message.version;
+    body.declaration.text = std::make_shared<const std::string>(std::move(*text));
+    return ChangeAt{message.position,
+                    {{}, {}, std::move(body)},
+                    message.revision,
+                    message.epoch,
+                    std::make_shared<const catalogue::TextPatch>(message.patch)};
+}
+
 SubscriberEffects Subscriber::tick(TimePoint now)
 {
     SubscriberEffects effects;
--- a/unittests/feed/feedtest.cpp
+++ b/unittests/feed/feedtest.cpp
@@ -222,7 +222,7 @@
                                        {},
                                        m_now - member.epochAt});
             };
-            for (const Delivery &it : member.publisher.subscribe(1, subscribe->position, state))
+            for (const Delivery &it : member.publisher.subscribe(1, *subscribe, state))
                 send(member, it);
         } else if (const auto *request = std::get_if<ProofRequest>(&message)) {
             if (member.provenAt != TimePoint{})
@@ -451,16 +451,22 @@
         const auto stateFrame = [] {
             return wire::Frame{wire::Channel::Feed, "state", {}};
         };
+        Random random(1);
         for (std::size_t n = 0; n < row.changes; ++n) {
+            // Texts without common parts, so that their differences are as large as they are.
+            std::string text(row.changeBytes, ' ');
+            std::generate(text.begin(), text.end(), [&] {
+                return static_cast<char>(random.next());
+            });
             catalogue::Declare body;
             body.declaration.version = n + 1;
-            body.declaration.text = std::make_shared<const std::string>(row.changeBytes, 'x');
+            body.declaration.text = std::make_shared<const std::string>(std::move(text));
             static_cast<void>(publisher.publish({n + 2, {{}, {}, body}, n + 1, 0}));
             CHECK(publisher.retainedBytes() <= maxRetainedBytes);
         }
         // A subscriber from any earlier position gets all changes after it, or the state.
         for (std::uint64_t position = 1; position <= row.changes + 1; ++position) {
-            const auto sent = publisher.subscribe(7, position, stateFrame);
+            const auto sent = publisher.subscribe(7, {position, false, true}, stateFrame);
             const std::size_t missed = row.changes + 1 - position;
             const bool isState = sent.size() == 1 && sent.front().frame.kind == "state";
             CHECK((isState || sent.size() == missed));
--- a/unittests/feed/relayfleet.cpp
+++ b/unittests/feed/relayfleet.cpp
@@ -86,7 +86,7 @@
             return toFrame(
                 StateAt{position, m_state.catalogue, m_state.instances, {}, m_now - m_epochAt});
         };
-        for (const Delivery &it : m_publisher.subscribe(id, subscribe->position, state))
+        for (const Delivery &it : m_publisher.subscribe(id, *subscribe, state))
             send(it);
     } else if (std::holds_alternative<Unsubscribe>(message)) {
         m_publisher.remove(id);
--- a/unittests/feed/slowlinktest.cpp
+++ b/unittests/feed/slowlinktest.cpp
@@ -77,8 +77,9 @@
     /// Changes \p routes routes and publishes the declaration as a new version.
     void change(std::size_t routes)
     {
+        const std::size_t first = m_random.below(m_routes.size());
         for (std::size_t n = 0; n < routes; ++n)
-            m_routes[(m_random.next() + n) % m_routes.size()] = routeText(m_random);
+            m_routes[(first + n) % m_routes.size()] = routeText(m_random);
         declare();
     }
 
@@ -159,9 +160,11 @@
         if (effects.appliedChange)
             queue(n, node.relay.publishChange(*effects.appliedChange));
         if (effects.restored)
-            queue(n, node.relay.restored(node.subscriber->position(), [&] {
-                return stateOf(node);
-            }));
+            queue(n,
+                  node.relay.restored(node.subscriber->position(), node.subscriber->declaration(),
+                                      [&] {
+                                          return stateOf(node);
+                                      }));
         if (!effects.changeMember)
             return;
         // The link is closed with all that waits in it, and opened again in the next step.
