Feed: a subscriber that cannot keep up skips the changes that newer ones replace

Cause: a subscriber that was behind was sent every change that it missed, in order, over a link that was full of the ones before. Proofs waited behind them, so that it changed its member each second, lost what was under way and asked for all of it again. Change: the publisher holds back a subscriber whose link has more than 64 KiB queued, and when the link has taken them sends what was missed as changes or as the newest state, whichever has fewer bytes. Members and relays do so alike; the gauge feed_held_back counts it. In the test of retained bytes the state is as large as what is retained, since a smaller one is sent in its place now; its checks are the same.

--- a/include/kumquathaven/feed/follower.h
+++ b/include/kumquathaven/feed/follower.h
@@ -72,6 +72,15 @@
     /// Handles the closing of the link to a child.
     void childClosed(SubscriberId child) { m_relaying.remove(child); }
 
+    // Holding back of children that do not keep up; see Publisher.
+    void holdBack(SubscriberId child, std::uint64_t position)
+    {
+        m_relaying.holdBack(child, position);
+    }
+    bool isHeldBack(SubscriberId child) const { return m_relaying.isHeldBack(child); }
+    std::vector<SubscriberId> heldBack() const { return m_relaying.heldBack(); }
+    std::vector<Delivery> resume(SubscriberId child, TimePoint now);
+
     /// Handles timeouts and periodic work. To be called every few tens of milliseconds. The first
     /// call requests a link to the first member.
     FollowerEffects tick(TimePoint now);
--- a/include/kumquathaven/feed/publisher.h
+++ b/include/kumquathaven/feed/publisher.h
@@ -24,8 +24,14 @@
 {
     wire::Frame frame;
     std::vector<SubscriberId> subscribers;
+    /// Position of the change in the frame; zero if the frame is no change.
+    std::uint64_t changeAt = 0;
 };
 
+/// A subscriber whose link has more bytes queued than this is held back: it is sent no changes
+/// until the link has taken them, and then no more bytes than the newest state has.
+constexpr std::size_t maxBacklogBytes = std::size_t{64} * 1024;
+
 /// Maximum number and bytes of changes retained for subscribers that reconnect. The number covers
 /// an hour at the rate that the design provides for. A subscriber that missed more bytes than this
 /// receives the complete state, which is smaller than the changes unless the catalogue is larger.
@@ -33,7 +39,8 @@
 constexpr std::size_t maxRetainedBytes = std::size_t{4} * 1024 * 1024;
 
 /// Retains the newest changes and knows the current subscribers. A declaration is sent as the
-/// difference from the one before to subscribers that read patches.
+/// difference from the one before to subscribers that read patches. A subscriber that cannot keep
+/// up with the changes skips those that newer ones replace.
 class Publisher
 {
 public:
@@ -46,10 +53,21 @@
 
     /// Subscribes \p subscriber to all changes after the position that it holds and returns what to
     /// send to it. \p state returns the frame with the current state; it is sent if the subscriber
-    /// holds none, cannot read a retained change, or the retained changes do not reach back.
+    /// holds none, cannot read a retained change, or the retained changes do not reach back or have
+    /// more bytes.
     std::vector<Delivery> subscribe(SubscriberId subscriber, const Subscribe &request,
                                     const std::function<wire::Frame()> &state);
 
+    /// Sends \p subscriber no changes from the one at \p position on, until resume(). Its link must
+    /// not have been given that change.
+    void holdBack(SubscriberId subscriber, std::uint64_t position);
+    bool isHeldBack(SubscriberId subscriber) const;
+    /// Returns the subscribers that are held back.
+    std::vector<SubscriberId> heldBack() const;
+    /// Returns what a subscriber that was held back has missed, as subscribe() does.
+    std::vector<Delivery> resume(SubscriberId subscriber,
+                                 const std::function<wire::Frame()> &state);
+
     /// Removes a subscriber, for example because its link closed.
     void remove(SubscriberId subscriber) { m_subscribers.erase(subscriber); }
 
@@ -74,8 +92,14 @@
     std::uint64_t m_retainedAfter = 0;
     std::deque<RetainedChange> m_retained;
     std::size_t m_retainedBytes = 0;
-    /// Whether each subscriber reads patches.
-    std::map<SubscriberId, bool> m_subscribers;
+    struct Subscription
+    {
+        bool readsPatches = false;
+        /// Position of the last change that was sent; empty unless the subscriber is held back.
+        std::optional<std::uint64_t> heldAfter;
+    };
+
+    std::map<SubscriberId, Subscription> m_subscribers;
     /// Text of the declaration at the position; null if it is not known.
     std::shared_ptr<const std::string> m_declaration;
 };
--- a/include/kumquathaven/feed/relay.h
+++ b/include/kumquathaven/feed/relay.h
@@ -55,6 +55,15 @@
     RelayReply receive(SubscriberId child, const Message &message, const HeldPosition &held,
                        const std::function<wire::Frame()> &state, TimePoint now);
 
+    // Holding back of children that do not keep up; see Publisher.
+    void holdBack(SubscriberId child, std::uint64_t position)
+    {
+        m_publisher.holdBack(child, position);
+    }
+    bool isHeldBack(SubscriberId child) const { return m_publisher.isHeldBack(child); }
+    std::vector<SubscriberId> heldBack() const { return m_publisher.heldBack(); }
+    std::vector<Delivery> resume(SubscriberId child, const std::function<wire::Frame()> &state);
+
     /// Removes a child, for example because its link closed.
     void remove(SubscriberId child);
 
--- a/include/kumquathaven/wire/hub.h
+++ b/include/kumquathaven/wire/hub.h
@@ -126,6 +126,10 @@
     /// queue is full, and TooLarge if the frame exceeds maxMessageBytes. Any thread may call it.
     Result<void> send(LinkId link, const Frame &frame);
 
+    /// Returns the number of bytes queued on a link; zero if the link is not open. Any thread may
+    /// call it.
+    std::size_t queuedBytes(LinkId link) const;
+
     /// Returns a copy of the counters. Any thread may call it.
     HubCounters counters() const;
 
--- a/lib/control/feedduty.cpp
+++ b/lib/control/feedduty.cpp
@@ -266,6 +266,27 @@
     return *m_stateFrame;
 }
 
+void FeedDuty::holdBack(wire::LinkId link, std::uint64_t position)
+{
+    if (m_publisher.isHeldBack(link))
+        return;
+    m_publisher.holdBack(link, position);
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    ++m_counts.heldBack;
+}
+
+/// Sends subscribers that were held back what they missed, once their links have room again.
+void FeedDuty::resumeSubscribers(TimePoint now)
+{
+    for (const wire::LinkId it : m_publisher.heldBack()) {
+        if (m_hub.queuedBytes(it) > feed::maxBacklogBytes)
+            continue;
+        deliver(m_publisher.resume(it, [this, now] {
+            return stateFrame(now);
+        }));
+    }
+}
+
 void FeedDuty::answerProof(wire::LinkId link, std::uint64_t number, TimePoint now)
 {
     if (m_provenAt == TimePoint{})
@@ -322,6 +343,7 @@
     if (now - m_lastTick > maxTickGap)
         m_collectingSince = now;
     m_lastTick = now;
+    resumeSubscribers(now);
     if (now >= m_nextProof) {
         m_nextProof = now + proofInterval;
         requestProof(now);
@@ -427,6 +449,10 @@
 {
     for (const feed::Delivery &delivery : deliveries) {
         for (const feed::SubscriberId it : delivery.subscribers) {
+            if (delivery.changeAt != 0 && m_hub.queuedBytes(it) > feed::maxBacklogBytes)
+                holdBack(it, delivery.changeAt);
+            if (delivery.changeAt != 0 && m_publisher.isHeldBack(it))
+                continue;
             orElse(
                 [&] {
                     return m_hub.send(it, delivery.frame);
--- a/lib/control/feedduty.h
+++ b/lib/control/feedduty.h
@@ -32,6 +32,8 @@
     std::uint64_t snapshotsSent = 0;
     /// Instances that were redirected to relays for their first state.
     std::uint64_t redirected = 0;
+    /// Times that a subscriber was sent no more changes since its link did not keep up.
+    std::uint64_t heldBack = 0;
     std::uint64_t changesSent = 0;
     std::uint64_t declaredDead = 0;
     /// Time since the platform's list was written; empty if none was read.
@@ -120,6 +122,8 @@
     void answerEntry(const FromEntry &event, const feed::Message &message, TimePoint now);
     void subscribe(wire::LinkId link, const std::string &instance, const feed::Subscribe &subscribe,
                    TimePoint now);
+    void holdBack(wire::LinkId link, std::uint64_t position);
+    void resumeSubscribers(TimePoint now);
     void answerProof(wire::LinkId link, std::uint64_t number, TimePoint now);
     const wire::Frame &stateFrame(TimePoint now);
     void restartFeed();
--- a/lib/control/operators.cpp
+++ b/lib/control/operators.cpp
@@ -231,6 +231,8 @@
     set("feed_changes_sent", "changes sent", static_cast<double>(feed.changesSent));
     set("feed_redirects_sent", "instances sent to relays for their first state",
         static_cast<double>(feed.redirected));
+    set("feed_held_back", "times that a subscriber's link did not keep up with changes",
+        static_cast<double>(feed.heldBack));
     set("feed_snapshots_sent", "whole states sent", static_cast<double>(feed.snapshotsSent));
     set("feed_retained_bytes", "bytes of changes retained for subscribers",
         static_cast<double>(feed.retainedBytes));
--- a/lib/feed/client.cpp
+++ b/lib/feed/client.cpp
@@ -116,6 +116,7 @@
     void applyEffects(const FollowerEffects &effects);
     void changeLinks(const FollowerEffects &effects);
     void deliver(const std::vector<Delivery> &deliveries);
+    void resumeChildren(TimePoint now);
     void followMembers(const catalogue::Catalogue &catalogue);
     void logDeclaration(const catalogue::Declaration &declaration);
     void nextMember();
@@ -249,6 +250,7 @@
         if (event)
             handle(*event, now);
         applyEffects(m_follower.tick(now));
+        resumeChildren(now);
         updateStatus();
     }
     applyEffects(m_follower.leave());
@@ -385,6 +387,10 @@
 {
     for (const Delivery &delivery : deliveries) {
         for (const SubscriberId it : delivery.subscribers) {
+            if (delivery.changeAt != 0 && m_hub.queuedBytes(it) > maxBacklogBytes)
+                m_follower.holdBack(it, delivery.changeAt);
+            if (delivery.changeAt != 0 && m_follower.isHeldBack(it))
+                continue;
             orElse(
                 [&] {
                     return m_hub.send(it, delivery.frame);
@@ -398,6 +404,15 @@
     }
 }
 
+/// Sends children that were held back what they missed, once their links have room again.
+void FeedClient::Impl::resumeChildren(TimePoint now)
+{
+    for (const SubscriberId it : m_follower.heldBack()) {
+        if (m_hub.queuedBytes(it) <= maxBacklogBytes)
+            deliver(m_follower.resume(it, now));
+    }
+}
+
 /// Logs the arrival of a declaration, a step between its acknowledgement and its use.
 void FeedClient::Impl::logDeclaration(const catalogue::Declaration &declaration)
 {
--- a/lib/feed/follower.cpp
+++ b/lib/feed/follower.cpp
@@ -125,6 +125,13 @@
     return effects;
 }
 
+std::vector<Delivery> Follower::resume(SubscriberId child, TimePoint now)
+{
+    return m_relaying.resume(child, [this, now] {
+        return toFrame(m_subscriber.state(now));
+    });
+}
+
 FollowerEffects Follower::tick(TimePoint now)
 {
     FollowerEffects effects;
--- a/lib/feed/relay.cpp
+++ b/lib/feed/relay.cpp
@@ -54,6 +54,13 @@
     return reply;
 }
 
+std::vector<Delivery> Relay::resume(SubscriberId child, const std::function<wire::Frame()> &state)
+{
+    return m_publisher.resume(child, [&] {
+        return stateFrame(state);
+    });
+}
+
 void Relay::recordHeartbeats(const ProofRequest &request, TimePoint now)
 {
     m_reports.recordHeartbeat(request.instance, request.incarnation, now);
--- a/lib/wire/hub.cpp
+++ b/lib/wire/hub.cpp
@@ -66,6 +66,11 @@
     return m_impl->send(link, frame);
 }
 
+std::size_t Hub::queuedBytes(LinkId link) const
+{
+    return m_impl->queuedBytes(link);
+}
+
 HubCounters Hub::counters() const
 {
     return m_impl->counters();
@@ -216,6 +221,12 @@
     return {};
 }
 
+std::size_t Hub::Impl::queuedBytes(LinkId id) const
+{
+    const LinkPtr link = find(id);
+    return link && link->open ? link->postedBytes + link->bufferedBytes : 0;
+}
+
 bool Hub::Impl::hasRoom(const Link &link, std::size_t bytes) const
 {
     const std::size_t queued = link.postedBytes + link.bufferedBytes;
--- a/lib/wire/hubimpl.h
+++ b/lib/wire/hubimpl.h
@@ -65,6 +65,7 @@
     void disconnect(LinkId id);
     void setQuiet(LinkId id, bool isQuiet);
     Result<void> send(LinkId id, const Frame &frame);
+    std::size_t queuedBytes(LinkId id) const;
     HubCounters counters() const;
 
 private:
--- a/unittests/feed/feedtest.cpp
+++ b/unittests/feed/feedtest.cpp
@@ -442,14 +442,19 @@
     {
         std::size_t changeBytes;
         std::size_t changes;
+        /// A smaller state would be sent in place of changes that are retained.
+        std::size_t stateBytes;
     };
-    for (const Row &row : {Row{10, 3 * maxRetainedChanges}, Row{100'000, 300}, Row{1'000'000, 30},
-                           Row{2 * maxRetainedBytes, 3}}) {
+    for (const Row &row :
+         {Row{10, 3 * maxRetainedChanges, 300'000}, Row{100'000, 300, maxRetainedBytes},
+          Row{1'000'000, 30, maxRetainedBytes}, Row{2 * maxRetainedBytes, 3, maxRetainedBytes}}) {
         CAPTURE(row.changeBytes);
         Publisher publisher;
         publisher.restart(1);
-        const auto stateFrame = [] {
-            return wire::Frame{wire::Channel::Feed, "state", {}};
+        const wire::Frame wholeState{wire::Channel::Feed, "state",
+                                     std::string(row.stateBytes, ' ')};
+        const auto stateFrame = [&] {
+            return wholeState;
         };
         Random random(1);
         for (std::size_t n = 0; n < row.changes; ++n) {
--- a/unittests/feed/slowlinktest.cpp
+++ b/unittests/feed/slowlinktest.cpp
@@ -90,6 +90,7 @@
             for (std::size_t n = 0; n < m_nodes.size(); ++n) {
                 transmit(n);
                 tick(n);
+                resumeChildren(n);
             }
         }
     }
@@ -129,8 +130,30 @@
     void queue(std::size_t n, const std::vector<Delivery> &deliveries)
     {
         for (const Delivery &delivery : deliveries) {
-            for (const SubscriberId it : delivery.subscribers)
-                m_nodes[n].queues[it].push_back(delivery.frame);
+            for (const SubscriberId it : delivery.subscribers) {
+                if (delivery.changeAt != 0 && queuedBytes(n, it) > maxBacklogBytes)
+                    m_nodes[n].relay.holdBack(it, delivery.changeAt);
+                if (delivery.changeAt == 0 || !m_nodes[n].relay.isHeldBack(it))
+                    m_nodes[n].queues[it].push_back(delivery.frame);
+            }
+        }
+    }
+
+    std::size_t queuedBytes(std::size_t n, SubscriberId child)
+    {
+        std::size_t bytes = 0;
+        for (const wire::Frame &it : m_nodes[n].queues[child])
+            bytes += it.body.size();
+        return bytes - m_nodes[n].sentOfFirst[child];
+    }
+
+    void resumeChildren(std::size_t n)
+    {
+        for (const SubscriberId it : m_nodes[n].relay.heldBack()) {
+            if (queuedBytes(n, it) <= maxBacklogBytes)
+                queue(n, m_nodes[n].relay.resume(it, [&] {
+                    return stateOf(m_nodes[n]);
+                }));
         }
     }
 
