--- a/test/system/crowd_common.py
+++ b/test/system/crowd_common.py
@@ -125,6 +125,51 @@
             it.socket.close()
 
 
+UPGRADE = (b"GET / HTTP/1.1\r\nHost: a.example\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+           b"Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n")
+FINAL, CONTINUED, BINARY, PING = 0x80, 0, 2, 9
+LINK_MESSAGE = 30 * 1024 * 1024
+
+
+def frame_head(bits, length):
+    """The head of a masked frame; its key is zero, so that the payload stays as it is."""
+    return bytes([bits, 0xFF]) + length.to_bytes(8, "big") + bytes(4)
+
+
+def link_message(total):
+    """A message that is announced whole and stops before its end."""
+    yield UPGRADE + frame_head(FINAL | BINARY, LINK_MESSAGE)
+    for _ in range(0, total, len(PAGE)):
+        yield PAGE
+
+
+def link_fragments(total):
+    """A message in fragments that has no end."""
+    yield UPGRADE
+    for sent in range(0, total, len(PAGE)):
+        yield frame_head(CONTINUED if sent else BINARY, len(PAGE)) + PAGE
+
+
+def link_pings(count):
+    """Pings whose answers nobody reads."""
+    ping = bytes([FINAL | PING, 0x80 | 125]) + bytes(4) + PAGE[:125]
+    yield UPGRADE
+    for _ in range(0, count, 500):
+        yield ping * 500
+
+
+def link_kinds():
+    """Every crowd of strangers at an address for links between instances."""
+    total = LINK_MESSAGE - SHORT
+    return {
+        **kinds("/", []),
+        "announced as long as a message": lambda: announced("/", [], LINK_MESSAGE, total),
+        "a message short of its end": lambda: link_message(total),
+        "fragments of a message": lambda: link_fragments(total),
+        "pings": lambda: link_pings(400_000),
+    }
+
+
 def reset_peak(pid):
     with open("/proc/%d/clear_refs" % pid, "w") as out:
         out.write("5")
--- a/test/system/crowds_native.py
+++ b/test/system/crowds_native.py
@@ -4,7 +4,7 @@
 import unittest
 
 from control_common import call
-from crowd_common import LIMIT, MEMORY_MB, CrowdTest, kinds, unread
+from crowd_common import LIMIT, MEMORY_MB, CrowdTest, kinds, link_kinds, unread
 from deployment import Deployment, send
 
 
@@ -41,6 +41,17 @@
         answer = send(self.entry, self.key, body, path="/svc/service-1/orders")
         self.assertEqual(answer.status, 200, "a single request inside the limits")
 
+    def crowd_links(self, member, ordinary):
+        for name, parts in link_kinds().items():
+            self.check(name, member.process, ("127.0.0.1", member.link), parts, ordinary)
+
+    def test_links_of_an_entry(self):
+        self.crowd_links(self.entry, self.served)
+
+    def test_links_of_control(self):
+        member = self.it.members[0]
+        self.crowd_links(member, lambda seconds: call(member.operators, "GET", "/v1/members", timeout=seconds)[0] == 200)
+
     def crowd_operators(self, member):
         def ordinary(seconds):
             return call(member.operators, "GET", "/v1/status" if member is self.entry else "/v1/members", timeout=seconds)[0] == 200
--- a/test/system/crowds_platform.py
+++ b/test/system/crowds_platform.py
@@ -3,7 +3,7 @@
 import sys
 import unittest
 
-from crowd_common import DESCRIPTORS, LIMIT, MEMORY_MB, CrowdTest, kinds, unread
+from crowd_common import DESCRIPTORS, LIMIT, MEMORY_MB, CrowdTest, kinds, link_kinds, unread
 from platform_common import Installation, plan
 from ports import free_ports
 
@@ -72,6 +72,16 @@
                        lambda: unread("/metrics", [], 400), ordinary)
         self.assertTrue(self.served(3))
 
+    def crowd_links(self, process, host, ordinary):
+        for name, parts in link_kinds().items():
+            self.check(name, process, self.at(host, "link"), parts, ordinary)
+
+    def test_links_of_an_entry(self):
+        self.crowd_links(self.it.entries[1].process, "127.0.1.1", self.served)
+
+    def test_links_of_control(self):
+        self.crowd_links(self.it.members[1].process, "127.0.0.1", self.ordinary("127.0.0.1", "declarations", "/-/config"))
+
     def crowd_control(self, port, path):
         process = self.it.members[1].process
         ordinary = self.ordinary("127.0.0.1", port, path)
