Links: what a peer can make a process hold before its proof is bounded

Cause: the bounds of an accepted link, 32 MB a message and 8,192 links, held before the peer had proven anything; the transport's own default for the body of the opening request, 32 MB, was never set; and each ping was answered into a queue that nobody read. Change: before the proof a request has no body, a message at most 4 KiB, pings get no answer, and the proof must come within 5 s; connections in that state are counted, and at the bound the oldest gives way. A violation of the protocol ends the connection at once.

--- a/include/kumquathaven/runtime/processbudget.h
+++ b/include/kumquathaven/runtime/processbudget.h
@@ -19,6 +19,9 @@
 /// opened to it.
 std::size_t acceptedLinkBytes(const settings::Settings &settings);
 
+/// Returns the number of accepted links that may be in their handshake at a time.
+std::size_t linkHandshakes(const settings::Settings &settings);
+
 /// Returns the connections that one server beside the callers' one may have open.
 std::uint32_t operatorConnections(const settings::Settings &settings);
 
--- a/include/kumquathaven/wire/hub.h
+++ b/include/kumquathaven/wire/hub.h
@@ -48,6 +48,12 @@
     std::size_t maxAcceptedBytes = 64UL * 1024 * 1024;
     /// Maximum number of accepted links. Further links are closed at once.
     std::size_t maxAcceptedLinks = 8192;
+    /// Maximum number of accepted connections whose peers have not proven yet that they know the
+    /// secret. At the bound the one that was accepted first is closed.
+    std::size_t maxHandshakes = 512;
+    /// Time after its acceptance by which the peer of a connection must have proven that it knows
+    /// the secret.
+    Duration handshakeTimeout = std::chrono::seconds(5);
     /// Time without anything received from a peer after which it is sent a ping, and interval of
     /// further pings.
     Duration pingInterval = std::chrono::seconds(1);
--- a/lib/control/controlrole.cpp
+++ b/lib/control/controlrole.cpp
@@ -71,6 +71,7 @@
     options.name = settings.instance;
     options.secret = settings.linkSecret;
     options.maxAcceptedBytes = runtime::acceptedLinkBytes(settings);
+    options.maxHandshakes = runtime::linkHandshakes(settings);
     return options;
 }
 
--- a/lib/gateway/gatewayrole.cpp
+++ b/lib/gateway/gatewayrole.cpp
@@ -59,6 +59,7 @@
     options.name = settings.instance;
     options.secret = settings.linkSecret;
     options.maxAcceptedBytes = runtime::acceptedLinkBytes(settings);
+    options.maxHandshakes = runtime::linkHandshakes(settings);
     options.seed = incarnation;
     return options;
 }
--- a/lib/runtime/processbudget.cpp
+++ b/lib/runtime/processbudget.cpp
@@ -12,6 +12,9 @@
 /// The share of a process's memory for what is queued on links that other instances opened.
 constexpr double acceptedLinksShare = 0.125;
 constexpr std::size_t minAcceptedLinkBytes = std::size_t{4} * 1024 * 1024;
+/// What a connection holds at most before its peer has proven that it knows the links' secret: the
+/// head of a request, its fields, a short message, and buffers.
+constexpr std::size_t handshakeBytes = std::size_t{64} * 1024;
 /// Each of the servers for operators, probes and metrics gets this part of the descriptors.
 constexpr std::uint32_t operatorsPart = 8;
 constexpr std::uint32_t minConnections = 8;
@@ -47,6 +50,12 @@
                     static_cast<std::size_t>(memoryBytesOf(settings) * acceptedLinksShare));
 }
 
+std::size_t linkHandshakes(const settings::Settings &settings)
+{
+    return std::min<std::size_t>(operatorConnections(settings),
+                                 acceptedLinkBytes(settings) / handshakeBytes);
+}
+
 std::uint32_t operatorConnections(const settings::Settings &settings)
 {
     return std::clamp(descriptorsOf(settings) / operatorsPart, minConnections,
--- a/lib/wire/endpoint.h
+++ b/lib/wire/endpoint.h
@@ -17,6 +17,7 @@
     // The library looks up the members by these names.
     // NOLINTBEGIN(readability-identifier-naming)
     static constexpr std::size_t connection_read_buffer_size = 4096;
+    static constexpr bool drop_on_protocol_error = true;
     static constexpr long timeout_open_handshake = 2000;
     static constexpr long timeout_close_handshake = 500;
 
--- a/lib/wire/handshake.h
+++ b/lib/wire/handshake.h
@@ -10,6 +10,9 @@
 
 namespace kumquathaven::wire {
 
+/// Maximum size of a message before the peer has proven that it knows the secret.
+constexpr std::size_t maxHandshakeBytes = 4096;
+
 /// The first message that each end sends: its instance name and a nonce.
 struct Hello
 {
--- a/lib/wire/hub.cpp
+++ b/lib/wire/hub.cpp
@@ -123,7 +123,15 @@
     if (parseError)
         return fail(linkError(ErrorCode::InvalidRequest, "wire.listen", name, "not an IP address"));
     m_acceptor.set_reuse_addr(true);
-    m_acceptor.set_max_message_size(m_options.maxMessageBytes);
+    m_acceptor.set_max_message_size(maxHandshakeBytes);
+    m_acceptor.set_max_http_body_size(0);
+    m_acceptor.set_tcp_pre_init_handler([this](const websocketpp::connection_hdl &handle) {
+        admitStranger(handle);
+    });
+    m_acceptor.set_fail_handler([this](const websocketpp::connection_hdl &handle) {
+        websocketpp::lib::error_code unknown;
+        forgetStranger(m_acceptor.get_con_from_hdl(handle, unknown));
+    });
     m_acceptor.set_open_handler([this](const websocketpp::connection_hdl &handle) {
         accept(handle);
     });
@@ -150,6 +158,7 @@
         }
         for (const LinkPtr &it : links())
             drop(it);
+        m_strangers.clear();
         m_io.stop();
     });
     m_thread.join();
@@ -326,6 +335,7 @@
     const TimePoint now = monotonicNow();
     const bool wasPaused = now - m_lastTick > m_options.silenceTimeout / 2;
     m_lastTick = now;
+    checkStrangers(wasPaused, now);
     for (const LinkPtr &it : links()) {
         // If this process itself was paused, the silence of its peers is no evidence of a failure.
         if (wasPaused)
--- a/lib/wire/hubimpl.h
+++ b/lib/wire/hubimpl.h
@@ -13,6 +13,7 @@
 
 #include <array>
 #include <atomic>
+#include <deque>
 #include <mutex>
 #include <thread>
 #include <unordered_map>
@@ -53,6 +54,13 @@
 
 using LinkPtr = std::shared_ptr<Link>;
 
+/// An accepted connection whose peer has not proven yet that it knows the secret.
+struct Stranger
+{
+    ConnectionPtr connection;
+    TimePoint acceptedAt;
+};
+
 class Hub::Impl
 {
 public:
@@ -71,6 +79,10 @@
 private:
     Result<void> listen(const settings::Address &address);
     void setHandlers(const LinkPtr &link);
+    void admitStranger(const websocketpp::connection_hdl &handle);
+    void forgetStranger(const ConnectionPtr &connection);
+    void endStranger();
+    void checkStrangers(bool wasPaused, TimePoint now);
     void accept(const websocketpp::connection_hdl &handle);
     void startConnect(const LinkPtr &link);
     void startHandshake(const LinkPtr &link);
@@ -106,6 +118,8 @@
     bool m_stopping = false;
     TimePoint m_lastTick;
     std::size_t m_accepted = 0;
+    /// In the order of their acceptance.
+    std::deque<Stranger> m_strangers;
     std::thread m_thread;
 
     mutable std::mutex m_mutex;
--- a/lib/wire/links.cpp
+++ b/lib/wire/links.cpp
@@ -19,6 +19,46 @@
 
 } // namespace
 
+/// Counts a connection that was accepted just now. Beyond the bound the oldest one ends, since a
+/// peer that knows the secret proves it at once.
+void Hub::Impl::admitStranger(const websocketpp::connection_hdl &handle)
+{
+    websocketpp::lib::error_code ec;
+    const ConnectionPtr connection = m_acceptor.get_con_from_hdl(handle, ec);
+    if (ec || m_stopping)
+        return;
+    m_strangers.push_back({connection, monotonicNow()});
+    if (m_strangers.size() > m_options.maxHandshakes)
+        endStranger();
+}
+
+void Hub::Impl::forgetStranger(const ConnectionPtr &connection)
+{
+    const auto it = std::find_if(m_strangers.begin(), m_strangers.end(), [&](const Stranger &each) {
+        return each.connection == connection;
+    });
+    if (it != m_strangers.end())
+        m_strangers.erase(it);
+}
+
+/// Closes the oldest connection whose peer has proven nothing.
+void Hub::Impl::endStranger()
+{
+    const ConnectionPtr connection = std::move(m_strangers.front().connection);
+    m_strangers.pop_front();
+    ++m_counters.peersRefused;
+    connection->terminate({});
+}
+
+void Hub::Impl::checkStrangers(bool wasPaused, TimePoint now)
+{
+    for (Stranger &it : m_strangers)
+        it.acceptedAt = wasPaused ? now : it.acceptedAt;
+    while (!m_strangers.empty()
+           && now - m_strangers.front().acceptedAt > m_options.handshakeTimeout)
+        endStranger();
+}
+
 void Hub::Impl::accept(const websocketpp::connection_hdl &handle)
 {
     websocketpp::lib::error_code ec;
@@ -27,6 +67,7 @@
         return;
     if (m_accepted >= m_options.maxAcceptedLinks) {
         ++m_counters.peersRefused;
+        forgetStranger(connection);
         connection->terminate({});
         return;
     }
@@ -53,7 +94,7 @@
         link->nextConnectAt = monotonicNow() + backoff(link->failures++);
         return;
     }
-    connection->set_max_message_size(m_options.maxMessageBytes);
+    connection->set_max_message_size(maxHandshakeBytes);
     link->connection = connection;
     link->lastReceivedAt = monotonicNow();
     setHandlers(link);
@@ -85,8 +126,11 @@
         });
     link->connection->set_ping_handler(
         [findCurrent](const websocketpp::connection_hdl &, const std::string &) {
-            if (const LinkPtr it = findCurrent())
-                it->lastReceivedAt = monotonicNow();
+            const LinkPtr it = findCurrent();
+            // A stranger must not fill the queue with answers to its pings.
+            if (!it || !it->open)
+                return false;
+            it->lastReceivedAt = monotonicNow();
             return true;
         });
     link->connection->set_message_handler(
@@ -155,6 +199,8 @@
         refuse(link);
         return;
     }
+    forgetStranger(link->connection);
+    link->connection->set_max_message_size(m_options.maxMessageBytes);
     link->failures = 0;
     link->open = true;
     ++m_counters.openLinks;
@@ -215,8 +261,10 @@
                 it.closed(peerOf(*link));
         }
     }
-    if (connection)
+    if (connection) {
+        forgetStranger(connection);
         connection->terminate({});
+    }
     if (link->outgoing && !link->removed) {
         link->nextConnectAt = monotonicNow() + backoff(link->failures++);
         return;
--- a/unittests/wire/hubtest.cpp
+++ b/unittests/wire/hubtest.cpp
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 
 #include <arpa/inet.h>
+#include <cerrno>
 #include <memory>
 #include <mutex>
 #include <thread>
@@ -66,7 +67,10 @@
 {
     explicit Node(const std::string &name, const std::string &secret = "secret",
                   std::size_t maxQueuedBytes = 1 << 20, std::size_t maxAcceptedBytes = 1 << 26)
-        : hub(options(name, secret, maxQueuedBytes, maxAcceptedBytes))
+        : Node(options(name, secret, maxQueuedBytes, maxAcceptedBytes))
+    { }
+    explicit Node(const HubOptions &options)
+        : hub(options)
     {
         hub.handle(Channel::Feed,
                    {[this](const Peer &peer) {
@@ -127,6 +131,58 @@
     Hub hub;
 };
 
+/// Connections to a hub that send some bytes and stay open.
+class Strangers
+{
+public:
+    Strangers(const settings::Address &address, std::size_t count, const std::string &bytes)
+    {
+        for (std::size_t n = 0; n < count; ++n) {
+            sockaddr_in to{};
+            to.sin_family = AF_INET;
+            to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+            to.sin_port = htons(address.port);
+            m_sockets.push_back(::socket(AF_INET, SOCK_STREAM, 0));
+            REQUIRE(::connect(m_sockets.back(), reinterpret_cast<sockaddr *>(&to), sizeof(to))
+                    == 0);
+            static_cast<void>(::send(m_sockets.back(), bytes.data(), bytes.size(), MSG_NOSIGNAL));
+        }
+    }
+    Strangers(const Strangers &) = delete;
+    Strangers &operator=(const Strangers &) = delete;
+    ~Strangers()
+    {
+        for (const int it : m_sockets)
+            ::close(it);
+    }
+
+    std::size_t count() const { return m_sockets.size(); }
+
+    /// Returns whether the hub closes \p count of the connections within eventTimeout.
+    bool waitUntilClosed(std::size_t count)
+    {
+        const TimePoint end = monotonicNow() + eventTimeout;
+        while (closedCount() < count && monotonicNow() < end)
+            std::this_thread::sleep_for(pollInterval);
+        return closedCount() >= count;
+    }
+
+private:
+    std::size_t closedCount()
+    {
+        std::size_t n = 0;
+        for (const int it : m_sockets) {
+            char buf[4096];
+            ssize_t got = 0;
+            while ((got = ::recv(it, buf, sizeof(buf), MSG_DONTWAIT)) > 0) { }
+            n += got == 0 || (errno != EAGAIN && errno != EWOULDBLOCK) ? 1 : 0;
+        }
+        return n;
+    }
+
+    std::vector<int> m_sockets;
+};
+
 } // namespace
 
 TEST_CASE("frames travel in order, both ways, and links come back after a restart")
@@ -170,6 +226,47 @@
     CHECK(client.hub.counters().openLinks == 0);
 }
 
+// Guards against strangers that fill the memory or the descriptors of a process over its links.
+TEST_CASE("peers that prove nothing are few, soon closed, and keep no real peer out")
+{
+    const std::string upgrade = "GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: "
+                                "Upgrade\r\nSec-WebSocket-Version: 13\r\nSec-WebSocket-Key: "
+                                "dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
+    const std::string longMessage("\x82\xFF\0\0\0\0\x01\xE0\0\0\0\0\0\0", 14);
+    struct Row
+    {
+        const char *name;
+        std::string sent;
+        /// Whether the connection ends before the time for its proof is over.
+        bool endsAtOnce;
+    };
+    const Row rows[] = {{"nothing", "", false},
+                        {"half of a head", upgrade.substr(0, 40), false},
+                        {"a body", "GET / HTTP/1.1\r\nContent-Length: 9\r\n\r\nbody", true},
+                        {"an upgrade", upgrade, false},
+                        {"a long message", upgrade + longMessage, true}};
+    constexpr std::size_t maxHandshakes = 4;
+    const settings::Address address = freeAddress();
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        HubOptions options = Node::options("control-1", "secret", 1 << 20, 1 << 26);
+        options.maxHandshakes = maxHandshakes;
+        options.handshakeTimeout = std::chrono::seconds(row.endsAtOnce ? 60 : 1);
+        options.silenceTimeout = std::chrono::seconds(60);
+        Node server(options);
+        server.start(address);
+        Strangers strangers(address, 12, row.sent);
+        CHECK(strangers.waitUntilClosed(strangers.count() - maxHandshakes));
+        Node client("entry-1");
+        client.start();
+        client.hub.connect(address);
+        client.next("opened");
+        CHECK(strangers.waitUntilClosed(strangers.count()));
+        CHECK(server.next("opened").peer.name == "entry-1");
+        CHECK(server.hub.counters().openLinks == 1);
+    }
+}
+
 TEST_CASE("a send over the bound of the queue or of a message is refused")
 {
     const settings::Address address = freeAddress();
