Entries: a starting entry adopts no declaration of a member that still applies its log

Cause: an entry without a plan used the first unconfirmed declaration 2 to 3 s after it was handed any, although newer ones kept arriving from a member that was applying its log: control had a majority, only the proof was late. Change: a newer declaration starts the wait again; "declaration in force" says whether it was confirmed. The native interface refuses keyed requests without a recent proof and has no such wait.

--- a/lib/gateway/firstplan.h
+++ b/lib/gateway/firstplan.h
@@ -10,19 +10,24 @@
 
 #include "kumquathaven/base/time.h"
 
+#include <cstdint>
+
 namespace kumquathaven::gateway {
 
-/// When an instance without a plan was first handed a declaration.
+/// The newest declaration that an instance without a plan was handed, and when.
 struct FirstPlan
 {
+    std::uint64_t version = 0;
     TimePoint handedAt{};
 };
 
 /// Returns whether to put the first declaration in force now. \p isProven: a majority of control
-/// has confirmed that it is the newest. A declaration that is not confirmed within \p maxWait is
-/// used all the same: control has no majority, and an old declaration serves callers better than
-/// none.
-bool mayAdoptFirst(FirstPlan &first, bool isProven, Duration maxWait, TimePoint now);
+/// has confirmed that \p version is the newest. A declaration that is not confirmed, while no newer
+/// one arrives, within \p maxWait is used all the same: control has no majority, and an old
+/// declaration serves callers better than none. A newer one shows that control still applies its
+/// log, and starts the wait again.
+bool mayAdoptFirst(FirstPlan &first, std::uint64_t version, bool isProven, Duration maxWait,
+                   TimePoint now);
 
 } // namespace kumquathaven::gateway
 
--- a/lib/gateway/gatewayrole.cpp
+++ b/lib/gateway/gatewayrole.cpp
@@ -299,9 +299,9 @@
         return;
     const bool isNewCatalogue = snapshot.catalogue != lastSnapshot.catalogue;
     const std::uint64_t version = snapshot.catalogue->declaration.version;
+    const bool isProven = snapshot.provenAt != TimePoint{};
     const bool isNewPlan = waitsForFirst
-        ? mayAdoptFirst(firstPlan, snapshot.provenAt != TimePoint{}, settings.platform->inForceTime,
-                        now)
+        ? mayAdoptFirst(firstPlan, version, isProven, settings.platform->inForceTime, now)
         : gateway.plan && gateway.plan->plan.version < version;
     if (snapshot.instances != lastSnapshot.instances) {
         gateway.retryRules.instances = static_cast<std::uint32_t>(
@@ -323,6 +323,7 @@
                 gateway.plan = std::make_shared<const PlanInForce>(std::move(plan));
                 telemetry::logLine(telemetry::LogLevel::Info, "gateway", "declaration in force",
                                    {{"version", std::to_string(version)},
+                                    {"confirmed", isProven ? "yes" : "no"},
                                     {"routes", std::to_string(gateway.plan->plan.routes.size())}});
                 return {};
             },
