--- a/unittests/wire/hubtest.cpp
+++ b/unittests/wire/hubtest.cpp
@@ -156,8 +156,6 @@
             ::close(it);
     }
 
-    std::size_t count() const { return m_sockets.size(); }
-
     /// Returns whether the hub closes \p count of the connections within eventTimeout.
     bool waitUntilClosed(std::size_t count)
     {
@@ -232,36 +230,44 @@
     const std::string upgrade = "GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: "
                                 "Upgrade\r\nSec-WebSocket-Version: 13\r\nSec-WebSocket-Key: "
                                 "dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
-    const std::string longMessage("\x82\xFF\0\0\0\0\x01\xE0\0\0\0\0\0\0", 14);
+    // Announces a message of 100,000 bytes, which a peer may send once it has proven itself.
+    const std::string longMessage("\x82\xFF\0\0\0\0\0\x01\x86\xA0\0\0\0\0", 14);
+    constexpr std::size_t maxHandshakes = 4;
+    constexpr std::size_t strangerCount = 12;
     struct Row
     {
         const char *name;
         std::string sent;
-        /// Whether the connection ends before the time for its proof is over.
-        bool endsAtOnce;
+        Duration handshakeTimeout;
+        /// How many strangers are closed in the end. A real peer takes the place of one.
+        std::size_t closed;
+    };
+    const Row rows[] = {
+        {"nothing", "", std::chrono::seconds(1), strangerCount},
+        {"half of a head", upgrade.substr(0, 40), std::chrono::seconds(1), strangerCount},
+        {"a body", "GET / HTTP/1.1\r\nContent-Length: 9\r\n\r\nbody", std::chrono::seconds(60),
+         strangerCount},
+        {"an upgrade", upgrade, std::chrono::seconds(1), strangerCount},
+        {"an upgrade, in time", upgrade, std::chrono::seconds(60),
+         strangerCount - maxHandshakes + 1},
+        {"a long message", upgrade + longMessage, std::chrono::seconds(60), strangerCount},
     };
-    const Row rows[] = {{"nothing", "", false},
-                        {"half of a head", upgrade.substr(0, 40), false},
-                        {"a body", "GET / HTTP/1.1\r\nContent-Length: 9\r\n\r\nbody", true},
-                        {"an upgrade", upgrade, false},
-                        {"a long message", upgrade + longMessage, true}};
-    constexpr std::size_t maxHandshakes = 4;
-    const settings::Address address = freeAddress();
     for (const Row &row : rows) {
         CAPTURE(row.name);
         HubOptions options = Node::options("control-1", "secret", 1 << 20, 1 << 26);
         options.maxHandshakes = maxHandshakes;
-        options.handshakeTimeout = std::chrono::seconds(row.endsAtOnce ? 60 : 1);
+        options.handshakeTimeout = row.handshakeTimeout;
         options.silenceTimeout = std::chrono::seconds(60);
+        const settings::Address address = freeAddress();
         Node server(options);
         server.start(address);
-        Strangers strangers(address, 12, row.sent);
-        CHECK(strangers.waitUntilClosed(strangers.count() - maxHandshakes));
+        Strangers strangers(address, strangerCount, row.sent);
+        CHECK(strangers.waitUntilClosed(strangerCount - maxHandshakes));
         Node client("entry-1");
         client.start();
         client.hub.connect(address);
         client.next("opened");
-        CHECK(strangers.waitUntilClosed(strangers.count()));
+        CHECK(strangers.waitUntilClosed(row.closed));
         CHECK(server.next("opened").peer.name == "entry-1");
         CHECK(server.hub.counters().openLinks == 1);
     }
