--- a/lib/catalogue/textpatch.cpp
+++ b/lib/catalogue/textpatch.cpp
@@ -59,16 +59,14 @@
 
 std::size_t commonPrefix(std::string_view a, std::string_view b)
 {
-    const std::size_t n = std::min(a.size(), b.size());
-    return static_cast<std::size_t>(std::mismatch(a.begin(), a.begin() + n, b.begin()).first
-                                    - a.begin());
+    const auto end = std::mismatch(a.begin(), a.end(), b.begin(), b.end()).first;
+    return static_cast<std::size_t>(end - a.begin());
 }
 
 std::size_t commonSuffix(std::string_view a, std::string_view b)
 {
-    const std::size_t n = std::min(a.size(), b.size());
-    return static_cast<std::size_t>(std::mismatch(a.rbegin(), a.rbegin() + n, b.rbegin()).first
-                                    - a.rbegin());
+    const auto end = std::mismatch(a.rbegin(), a.rend(), b.rbegin(), b.rend()).first;
+    return static_cast<std::size_t>(end - a.rbegin());
 }
 
 /// Appends the pieces that make \p after, with copies of whole blocks of \p before and of what is
--- a/unittests/feed/feedtest.cpp
+++ b/unittests/feed/feedtest.cpp
@@ -451,8 +451,7 @@
         CAPTURE(row.changeBytes);
         Publisher publisher;
         publisher.restart(1);
-        const wire::Frame wholeState{wire::Channel::Feed, "state",
-                                     std::string(row.stateBytes, ' ')};
+        wire::Frame wholeState{wire::Channel::Feed, "state", std::string(row.stateBytes, ' ')};
         const auto stateFrame = [&] {
             return wholeState;
         };
