--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,70 +1,86 @@
-"""REFUSED: a booking that has run is answered 503, which promises that it has not, and is then booked again."""
+"""Starved: after a short cut between the edge and a service, its requests are refused for good."""
 
 import pathlib
 import sys
+import threading
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "common-3"))
 from bed import TROUBLE, CannotRun, configuration, play  # noqa: E402
+from path import Path  # noqa: E402
 from server import Server  # noqa: E402
 
-BOOKINGS = 40
-# srv_grey: share (.15) of the servers, at least one of three here, fail x (.4) of their requests, health good.
-FAILING = 0.4
-
-
-class Ledger:
-    """What the servers have booked: a request that has run to its end is in it, whatever its answer was."""
-
-    def __init__(self, bed):
-        self.bed = bed
-        self.ran = []
-        self.asked = 0
-
-    def trick(self, isGrey):
-        def serve(server, connection, request):
-            if request.method != "POST":
-                return None
-            self.ran.append((request.field("x-request-id"), request.body))
-            self.bed.record(server.name, f"has run {request.field('x-request-id')}: {request.body.decode()}")
-            self.asked += isGrey
-            # Two in five: the booking is stored, and then the server fails. It does not say X-Not-Executed, since it has run it.
-            if isGrey and TROUBLE and self.asked % 5 in (1, 3):
-                return server.reply(connection, request, 503, b"the confirmation could not be made\n", {"X-Response-Stamp": "stamp"})
-            return server.reply(connection, request, 200, b"booked\n", {"X-Response-Stamp": "stamp"})
-        return serve
+# srv_cut: partitioned from the fronts, too (how = fronts), as refused connections (how = refuse); 5 s where for_s is left out.
+CUT_S = 4.0
+RECOVER_S = 12.0
+AFTER_S = 20.0
 
 
 def run(bed):
-    ledger = Ledger(bed)
-    for n in range(3):
-        Server(bed, f"app-{n + 1}", "app", (bed.address(210 + n), 8700), trick=ledger.trick(n == 0))
+    ran = []
+
+    def trick(server, connection, request):
+        ran.append(request.field("x-request-id"))
+        return None
+    paths = []
+    for n in range(2):
+        server = Server(bed, f"app-{n + 1}", "app", (bed.address(210 + n), 8700), trick=trick)
+        # The way from the edge to the server; the server itself runs on and stays healthy.
+        paths.append(Path(bed, (bed.address(220 + n), 8700), server))
     bed.start()
-    bed.configure(configuration(3))
+    plan = configuration(3)
+    # An application whose calls may all run once at most, as bookings do.
+    plan["Routes"] = [it for it in plan["Routes"] if it["Name"] in ("write", "ask")]
+    Server(bed, "lm-1", "lm", (bed.address(212), 8700), version=1)
+    bed.configure(plan)
     bed.wait_ready()
     time.sleep(1.0)
-    broken = []
-    for n in range(BOOKINGS):
-        text = f"booking {n}".encode()
-        # A consumer retries what may not be repeated only after a promise, on a new channel and with a new id.
-        for attempt in range(2):
-            channel = bed.channel(1 + n % 2)
-            request_id, data = bed.head("POST", "/write/booking", body=text, deadline=4000)
-            channel.send(data)
-            got = channel.read("POST")
-            channel.close()
-            bed.record("consumer", f"{text.decode()}, attempt {attempt + 1}, {request_id}: {got}")
-            if got.status in (408, 421, 429, 503) and any(it[0] == request_id for it in ledger.ran):
-                broken.append((request_id, got.status, text))
-            if got.status not in (408, 421, 429, 503):
-                break
-            time.sleep(min(1.0, float(got.fields.get("retry-after", 0.1))))
-    if len(ledger.ran) < BOOKINGS / 2:
-        raise CannotRun("hardly any booking ran")
-    for request_id, status, text in broken:
-        times = sum(it[1] == text for it in ledger.ran)
-        bed.record("judge", f"REFUSED: {request_id} was answered {status} and has run; {text.decode()} ran {times} times")
-    return not broken
+    results = {"before": [], "cut": [], "healing": [], "after": []}
+    phase = ["before"]
+    stop = threading.Event()
+
+    def consume(edge):
+        n = 0
+        while not stop.wait(0.1):
+            n += 1
+            now = phase[0]
+            try:
+                channel = bed.channel(edge, timeout=9)
+                request_id, data = bed.head("POST", "/write/booking", body=b"one booking", deadline=4000)
+                channel.send(data)
+                got = channel.read("POST")
+                channel.close()
+                results[now].append(got.status)
+                if n % 10 == 1:
+                    bed.record("consumer", f"{now}: {request_id} at edge-{edge} gets {got}")
+            except OSError as error:
+                results[now].append(type(error).__name__)
+    threads = [threading.Thread(target=consume, args=(n,)) for n in bed.fronts]
+    for it in threads:
+        it.start()
+    time.sleep(3.0)
+    phase[0] = "cut"
+    if TROUBLE:
+        for it in paths:
+            it.cut()
+    time.sleep(CUT_S)
+    for it in paths:
+        it.heal()
+    phase[0] = "healing"
+    time.sleep(RECOVER_S)
+    phase[0] = "after"
+    time.sleep(AFTER_S)
+    stop.set()
+    for it in threads:
+        it.join()
+    share = {name: sum(it == 200 for it in got) / max(1, len(got)) for name, got in results.items()}
+    for name, got in results.items():
+        bed.record("judge", f"{name}: {len(got)} bookings, {share[name]:.0%} served, answers {sorted({str(it) for it in got})}")
+    if share["before"] < 0.9:
+        raise CannotRun("bookings are not served before the cut")
+    if share["after"] < 0.25:
+        bed.record("judge", f"Starved: later than {RECOVER_S:.0f} s after the cut has healed {share['after']:.0%} of the bookings are served")
+    return share["after"] >= 0.25
 
 
 play(__file__, run)
