--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,86 +1,111 @@
-"""Starved: after a short cut between the edge and a service, its requests are refused for good."""
+"""DENIED: servers that go down and up by turns, and a request that they can't finish meanwhile, which is refused for good."""
 
 import pathlib
+import socket
+import struct
 import sys
 import threading
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "common-3"))
 from bed import TROUBLE, CannotRun, configuration, play  # noqa: E402
-from path import Path  # noqa: E402
 from server import Server  # noqa: E402
 
-# srv_cut: partitioned from the fronts, too (how = fronts), as refused connections (how = refuse); 5 s where for_s is left out.
-CUT_S = 4.0
-RECOVER_S = 12.0
-AFTER_S = 20.0
+# srv_flap of the grown site: gap_s = 1.4, for_s = 6.5: four times down and up.
+PERIOD_S = 1.4
+FLAPS = 4
+WORK_S = 1.0
+AFTER_S = 15.0
 
 
-def run(bed):
-    ran = []
+class Flapping(Server):
+    def __init__(self, *args, **more):
+        self.connections = set()
+        self.lives = 0
+        super().__init__(*args, **more)
+
+    def serve(self, connection):
+        self.connections.add(connection)
+        super().serve(connection)
+        self.connections.discard(connection)
+
+    def down(self):
+        self.bed.record(self.name, "goes down")
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        for it in list(self.connections):
+            try:
+                it.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                it.shutdown(socket.SHUT_RDWR)
+                it.close()
+            except OSError:
+                pass
+        self.connections.clear()
+
+    def up(self):
+        # Each start is a new lifetime.
+        self.lives += 1
+        self.name = self.name.split(".")[0] + f".{self.lives}"
+        self.born += 1000
+        self.listener = socket.create_server(self.address, backlog=128)
+        threading.Thread(target=self.accept, daemon=True).start()
+        self.bed.record(self.name, "is up")
 
-    def trick(server, connection, request):
-        ran.append(request.field("x-request-id"))
-        return None
-    paths = []
-    for n in range(2):
-        server = Server(bed, f"app-{n + 1}", "app", (bed.address(210 + n), 8700), trick=trick)
-        # The way from the edge to the server; the server itself runs on and stays healthy.
-        paths.append(Path(bed, (bed.address(220 + n), 8700), server))
+
+def work(server, connection, request):
+    if request.target.startswith("/read/report"):
+        time.sleep(WORK_S)
+    return None
+
+
+def run(bed):
+    servers = [Flapping(bed, f"app-{n + 1}", "app", (bed.address(210 + n), 8700), trick=work) for n in range(2)]
     bed.start()
-    plan = configuration(3)
-    # An application whose calls may all run once at most, as bookings do.
-    plan["Routes"] = [it for it in plan["Routes"] if it["Name"] in ("write", "ask")]
-    Server(bed, "lm-1", "lm", (bed.address(212), 8700), version=1)
-    bed.configure(plan)
+    bed.configure(configuration(3))
     bed.wait_ready()
     time.sleep(1.0)
-    results = {"before": [], "cut": [], "healing": [], "after": []}
-    phase = ["before"]
-    stop = threading.Event()
+    phase, stop, got = ["before"], threading.Event(), []
 
-    def consume(edge):
-        n = 0
-        while not stop.wait(0.1):
-            n += 1
+    def consume(n):
+        while not stop.wait(0.15):
             now = phase[0]
             try:
-                channel = bed.channel(edge, timeout=9)
-                request_id, data = bed.head("POST", "/write/booking", body=b"one booking", deadline=4000)
+                channel = bed.channel(1 + n % 2, timeout=9)
+                request_id, data = bed.head("GET", "/read/report?day=7", deadline=4000)
                 channel.send(data)
-                got = channel.read("POST")
+                answer = channel.read()
                 channel.close()
-                results[now].append(got.status)
-                if n % 10 == 1:
-                    bed.record("consumer", f"{now}: {request_id} at edge-{edge} gets {got}")
+                bed.record("consumer", f"{now}: {request_id} gets {answer}")
+                got.append((now, answer.status))
             except OSError as error:
-                results[now].append(type(error).__name__)
-    threads = [threading.Thread(target=consume, args=(n,)) for n in bed.fronts]
+                got.append((now, type(error).__name__))
+    threads = [threading.Thread(target=consume, args=(n,)) for n in range(6)]
     for it in threads:
         it.start()
-    time.sleep(3.0)
-    phase[0] = "cut"
-    if TROUBLE:
-        for it in paths:
-            it.cut()
-    time.sleep(CUT_S)
-    for it in paths:
-        it.heal()
-    phase[0] = "healing"
-    time.sleep(RECOVER_S)
+    time.sleep(4.0)
+    phase[0] = "flapping"
+    for _ in range(FLAPS if TROUBLE else 0):
+        for it in servers:
+            it.down()
+        time.sleep(PERIOD_S / 2)
+        for it in servers:
+            it.up()
+        time.sleep(PERIOD_S / 2)
+    phase[0] = "settling"
+    time.sleep(4.0)
     phase[0] = "after"
     time.sleep(AFTER_S)
     stop.set()
     for it in threads:
         it.join()
-    share = {name: sum(it == 200 for it in got) / max(1, len(got)) for name, got in results.items()}
-    for name, got in results.items():
-        bed.record("judge", f"{name}: {len(got)} bookings, {share[name]:.0%} served, answers {sorted({str(it) for it in got})}")
-    if share["before"] < 0.9:
-        raise CannotRun("bookings are not served before the cut")
-    if share["after"] < 0.25:
-        bed.record("judge", f"Starved: later than {RECOVER_S:.0f} s after the cut has healed {share['after']:.0%} of the bookings are served")
-    return share["after"] >= 0.25
+    for name in ("before", "flapping", "settling", "after"):
+        mine = [str(status) for at, status in got if at == name]
+        bed.record("judge", f"{name}: " + ", ".join(f"{status} x {mine.count(status)}" for status in sorted(set(mine))))
+    denied = sum(status == 400 for at, status in got if at in ("settling", "after"))
+    bed.record("judge", f"DENIED: {denied} of {len(got)} proper requests ended with 400 after the servers were back")
+    if not any(at == "before" and status == 200 for at, status in got):
+        raise CannotRun("not served before")
+    return denied <= 5 + len(got) / 500
 
 
 play(__file__, run)
