Entries: a stopping entry takes only what it can answer before its end

Cause: acceptsWhileLeaving() compared deadlines with the last answers for requests that may run only once and are no streams. All others were taken for 3.1 to 3.4 s, whatever their deadline. The log shows streams sent on with 7,999 ms left when the process had 4.3 s, all reset at the moment of its last answers.

Change: requests of every kind are taken only if their deadline is before the last answers, counted from the signal itself, whose handler records the time. What can be finished is now taken for as long as the process runs. Related paths: the HTTP server of control and of the native interface takes no request in the second half of its time to stop, and control's four servers fit into a short grace period.

It works because an exchange ends at its deadline whatever happens, so that nothing that was taken after the signal runs at the last answers.

Two checks demanded that a stream, and a request that may be repeated, be taken though it may have to be cut. They now demand that it is refused as not run, and passed on to nobody.

--- a/include/kumquathaven/gateway/gatewayrole.h
+++ b/include/kumquathaven/gateway/gatewayrole.h
@@ -5,6 +5,7 @@
 
 #include "kumquathaven/base/result.h"
 #include "kumquathaven/deployment/dialect.h"
+#include "kumquathaven/runtime/stoprequest.h"
 #include "kumquathaven/settings/settings.h"
 
 #include <memory>
@@ -15,7 +16,9 @@
 class GatewayRole
 {
 public:
-    GatewayRole(const settings::Settings &settings, const deployment::Dialect &dialect);
+    /// \p stopRequest tells when the grace period began. All arguments must outlive the role.
+    GatewayRole(const settings::Settings &settings, const deployment::Dialect &dialect,
+                const runtime::StopRequest &stopRequest);
     ~GatewayRole();
     GatewayRole(const GatewayRole &) = delete;
     GatewayRole &operator=(const GatewayRole &) = delete;
@@ -23,9 +26,10 @@
     /// Starts every duty. Fails if a listening address is already in use.
     Result<void> start();
 
-    /// Announces to control and callers that the entry is leaving, goes on serving new requests for
-    /// a while, and returns when no request runs any more, at the latest shortly before the
-    /// platform's grace period for stopping ends.
+    /// Announces to control and callers that the entry is leaving, goes on serving the requests
+    /// that can be answered before its end, and returns when no request runs any more, at the
+    /// latest shortly before the platform's grace period for stopping ends. Called once a stop was
+    /// requested.
     void drainAndStop();
 
 private:
--- a/include/kumquathaven/runtime/httpserver.h
+++ b/include/kumquathaven/runtime/httpserver.h
@@ -75,7 +75,8 @@
     Result<void> start(const settings::Address &address);
 
     /// Accepts no more connections, ends the open ones with their next answers, and waits up to \p
-    /// drain for the requests that run, then cuts them. Requests that arrive later are refused.
+    /// drain for the requests that run, then cuts them. Requests that arrive in the second half of
+    /// that time, or later, are refused.
     void stop(Duration drain);
 
     /// Requests that are being answered.
--- a/lib/control/controlrole.cpp
+++ b/lib/control/controlrole.cpp
@@ -473,12 +473,15 @@
 
 void ControlRole::Impl::stop()
 {
-    for (const auto *it : {&declarations, &directory, &metricsServer}) {
+    // The servers stop one after the other, and half of the grace period is left for the log.
+    constexpr int graceShare = 8;
+    Duration drain = operatorsDrain;
+    if (settings.platform)
+        drain = std::min(drain, settings.platform->stopGrace / graceShare);
+    for (const auto *it : {&declarations, &directory, &metricsServer, &operators}) {
         if (*it)
-            (*it)->stop(operatorsDrain);
+            (*it)->stop(drain);
     }
-    if (operators)
-        operators->stop(operatorsDrain);
     stopSignal.request();
     if (thread.joinable())
         thread.join();
--- a/lib/gateway/exchange.cpp
+++ b/lib/gateway/exchange.cpp
@@ -88,8 +88,9 @@
     if (m_callerHead.timeout)
         wait = std::min(wait, *m_callerHead.timeout);
     m_deadline = m_arrivedAt + std::min(wait, maxWait);
+    noticeStop(m_gateway);
     const auto &leaving = m_gateway.leaving;
-    if (leaving && !acceptsWhileLeaving(*leaving, *m_route, m_deadline))
+    if (leaving && !acceptsWhileLeaving(*leaving, m_deadline))
         return fail(refusal(ErrorCode::Unavailable, "this entry is leaving", leavingRetryAfter));
     if (m_callerHead.hasTokenCounts)
         m_tokens = m_callerHead.promptTokens + m_callerHead.maxOutputTokens;
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -87,4 +87,12 @@
     retryRules.window = platform.retryWindow;
 }
 
+void noticeStop(Gateway &gateway)
+{
+    if (gateway.leaving || gateway.stopRequest == nullptr)
+        return;
+    if (const auto requestedAt = gateway.stopRequest->requestedAt())
+        gateway.leaving = leavingFrom(gateway.settings.platform->stopGrace, *requestedAt);
+}
+
 } // namespace kumquathaven::gateway
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include "kumquathaven/deployment/dialect.h"
 #include "kumquathaven/deployment/plan.h"
 #include "kumquathaven/quarantine/quarantine.h"
+#include "kumquathaven/runtime/stoprequest.h"
 #include "kumquathaven/settings/settings.h"
 #include "kumquathaven/telemetry/metrics.h"
 #include "leaving.h"
@@ -116,6 +117,8 @@
     RetryRules retryRules;
     /// Recent shares of refused requests by service.
     std::map<std::string, RefusalRate> refusalRates;
+    /// Null if the process cannot be told to stop.
+    const runtime::StopRequest *stopRequest = nullptr;
     /// Set while the entry leaves: answers ask callers to close their connections, and requests
     /// that are not accepted any more are refused at once, so that their callers turn to other
     /// entries.
@@ -126,6 +129,10 @@
     std::uint32_t running = 0;
 };
 
+/// Begins to leave if the process was told to stop. The times count from then, however late that is
+/// noticed.
+void noticeStop(Gateway &gateway);
+
 } // namespace kumquathaven::gateway
 
 #endif // KUMQUATHAVEN_LIB_GATEWAY_GATEWAY_H
--- a/lib/gateway/gatewayrole.cpp
+++ b/lib/gateway/gatewayrole.cpp
@@ -36,7 +36,7 @@
 
 constexpr Duration tickInterval = std::chrono::milliseconds(30);
 constexpr Duration sweepInterval = std::chrono::milliseconds(250);
-/// Time between the end of accepting connections and the refusal of requests. Requests on the
+/// Least time between the end of accepting connections and the end of the process. Requests on the
 /// connections that were accepted last arrive in that time.
 constexpr Duration lingerTime = std::chrono::milliseconds(300);
 constexpr Duration leavingPoll = std::chrono::milliseconds(100);
@@ -77,7 +77,8 @@
 
 struct GatewayRole::Impl
 {
-    Impl(const settings::Settings &s, const deployment::Dialect &dialect);
+    Impl(const settings::Settings &s, const deployment::Dialect &dialect,
+         const runtime::StopRequest &stopRequest);
     ~Impl();
 
     Result<void> start();
@@ -124,7 +125,8 @@
     std::thread thread;
 };
 
-GatewayRole::Impl::Impl(const settings::Settings &s, const deployment::Dialect &dialect)
+GatewayRole::Impl::Impl(const settings::Settings &s, const deployment::Dialect &dialect,
+                        const runtime::StopRequest &stopRequest)
     : settings(s)
     , self(feed::startingInstance(settings))
     , hub(hubOptions(settings, self.incarnation))
@@ -149,6 +151,7 @@
     , timer(gateway.loop)
     , duties("gateway", runtime::RestartPolicy{0})
 {
+    gateway.stopRequest = &stopRequest;
     wire::ChannelHandlers handlers;
     handlers.opened = [this](const wire::Peer &peer) {
         boost::asio::post(gateway.loop, [this, peer] {
@@ -393,6 +396,7 @@
 void GatewayRole::Impl::continueLeaving()
 {
     const TimePoint now = monotonicNow();
+    noticeStop(gateway);
     if (now < gateway.leaving->acceptsUntil || hasEnded)
         return;
     // New callers turn to another entry; connected callers are asked to close their connections.
@@ -400,13 +404,11 @@
         listener.stopAccepting();
         stoppedAcceptingAt = now;
     }
-    if (now - stoppedAcceptingAt >= lingerTime || now >= gateway.leaving->answersUntil)
-        gateway.leaving->acceptsRequests = false;
     if (now >= gateway.leaving->answersUntil)
         listener.instanceEnds();
     running = gateway.running;
-    const bool isDone =
-        !gateway.leaving->acceptsRequests && gateway.running == 0 && !listener.hasQueuedOutput();
+    const bool isDone = now - stoppedAcceptingAt >= lingerTime && gateway.running == 0
+        && !listener.hasQueuedOutput();
     if (isDone || now >= gateway.leaving->endsAt)
         endLoop();
 }
@@ -423,8 +425,8 @@
 {
     isDraining = true;
     isReady = false;
-    boost::asio::post(gateway.loop, [this, startedAt = monotonicNow()] {
-        gateway.leaving = leavingFrom(settings.platform->stopGrace, startedAt);
+    boost::asio::post(gateway.loop, [this] {
+        noticeStop(gateway);
     });
     announce(catalogue::InstanceState::Leaving);
     telemetry::logLine(telemetry::LogLevel::Info, "gateway", "leaving",
@@ -444,8 +446,9 @@
     hub.stop();
 }
 
-GatewayRole::GatewayRole(const settings::Settings &settings, const deployment::Dialect &dialect)
-    : m_impl(std::make_unique<Impl>(settings, dialect))
+GatewayRole::GatewayRole(const settings::Settings &settings, const deployment::Dialect &dialect,
+                         const runtime::StopRequest &stopRequest)
+    : m_impl(std::make_unique<Impl>(settings, dialect, stopRequest))
 { }
 
 GatewayRole::~GatewayRole() = default;
--- a/lib/gateway/leaving.cpp
+++ b/lib/gateway/leaving.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// Requests are accepted for this share of the grace period, so that most of it is left for their
+/// Connections are accepted for this share of the grace period, so that most of it is left for the
 /// answers, and at most for the time for which callers cache the names of entries.
 constexpr double acceptShare = 0.35;
 constexpr Duration maxAcceptTime = std::chrono::milliseconds(2800);
@@ -32,11 +32,9 @@
     return leaving;
 }
 
-bool acceptsWhileLeaving(const Leaving &leaving, const deployment::Route &route, TimePoint deadline)
+bool acceptsWhileLeaving(const Leaving &leaving, TimePoint deadline)
 {
-    const bool isAnsweredInTime = deadline <= leaving.answersUntil;
-    return leaving.acceptsRequests
-        && (isAnsweredInTime || route.kind != deployment::RequestKind::NonIdempotent);
+    return deadline <= leaving.answersUntil;
 }
 
 } // namespace kumquathaven::gateway
--- a/lib/gateway/leaving.h
+++ b/lib/gateway/leaving.h
@@ -4,7 +4,6 @@
 #define KUMQUATHAVEN_LIB_GATEWAY_LEAVING_H
 
 #include "kumquathaven/base/time.h"
-#include "kumquathaven/deployment/plan.h"
 
 namespace kumquathaven::gateway {
 
@@ -13,8 +12,6 @@
 {
     /// No connection is accepted from this time on.
     TimePoint acceptsUntil{};
-    /// False once requests on the open connections are refused, too.
-    bool acceptsRequests = true;
     /// Requests that are still running at this time are answered with an error.
     TimePoint answersUntil{};
     /// The process ends at this time, whatever has not been sent yet.
@@ -24,11 +21,11 @@
 /// Returns the times of an entry that began to leave at \p now and is killed \p grace later.
 Leaving leavingFrom(Duration grace, TimePoint now);
 
-/// Returns whether a leaving entry accepts a request of a route whose caller waits until \p
-/// deadline. A request that may run only once and is no stream is accepted only if its deadline is
-/// before the last answers: its caller could not tell whether it has run.
-bool acceptsWhileLeaving(const Leaving &leaving, const deployment::Route &route,
-                         TimePoint deadline);
+/// Returns whether a leaving entry accepts a request that is to be answered by \p deadline, the
+/// earlier of what its caller and its route allow. Requests of all kinds are accepted only if the
+/// deadline is before the last answers: how long an answer takes is not known before, and one that
+/// is cut costs its caller more time than a refusal, after which it turns to another entry at once.
+bool acceptsWhileLeaving(const Leaving &leaving, TimePoint deadline);
 
 } // namespace kumquathaven::gateway
 
--- a/lib/runtime/httpserver.cpp
+++ b/lib/runtime/httpserver.cpp
@@ -304,10 +304,13 @@
         error_code ec;
         impl.acceptor.close(ec);
     });
-    const TimePoint deadline = monotonicNow() + drain;
-    while (!impl.core.gate.closeIfIdle() && monotonicNow() < deadline)
+    const TimePoint startedAt = monotonicNow();
+    while (!impl.core.gate.closeIfIdle() && monotonicNow() - startedAt < drain / 2)
         std::this_thread::sleep_for(drainPollInterval);
+    // The requests accepted last have the second half of the time for their answers.
     impl.core.gate.close();
+    while (impl.core.gate.active() > 0 && monotonicNow() - startedAt < drain)
+        std::this_thread::sleep_for(drainPollInterval);
     boost::asio::post(impl.core.loop, [&impl] {
         impl.cutAll();
     });
--- a/tools/kumquathavend/main.cpp
+++ b/tools/kumquathavend/main.cpp
@@ -4,13 +4,13 @@
 #include "kumquathaven/control/controlrole.h"
 #include "kumquathaven/entry/entryrole.h"
 #include "kumquathaven/gateway/gatewayrole.h"
+#include "kumquathaven/runtime/stoprequest.h"
 #include "kumquathaven/settings/settings.h"
 #include "kumquathaven/telemetry/log.h"
 #include "platform/dialect.h"
 
 #include <popt.h>
 
-#include <atomic>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -31,11 +31,11 @@
 
 constexpr Duration signalPollInterval = std::chrono::milliseconds(100);
 
-std::atomic<bool> endRequested{false};
+runtime::StopRequest stopRequest;
 
-void requestEnd(int)
+void requestStop(int)
 {
-    endRequested = true;
+    stopRequest.request(monotonicNow());
 }
 
 struct Arguments
@@ -81,7 +81,7 @@
     return orElse(
         [&]() -> Result<int> {
             BOOST_LEAF_CHECK(role.start());
-            while (!endRequested && !role.drainRequested())
+            while (!stopRequest.requestedAt() && !role.drainRequested())
                 std::this_thread::sleep_for(signalPollInterval);
             role.drainAndStop();
             return exitOk;
@@ -91,11 +91,11 @@
 
 int runGateway(const settings::Settings &settings)
 {
-    gateway::GatewayRole role(settings, platform::dialect());
+    gateway::GatewayRole role(settings, platform::dialect(), stopRequest);
     return orElse(
         [&]() -> Result<int> {
             BOOST_LEAF_CHECK(role.start());
-            while (!endRequested)
+            while (!stopRequest.requestedAt())
                 std::this_thread::sleep_for(signalPollInterval);
             role.drainAndStop();
             return exitOk;
@@ -109,7 +109,7 @@
     return orElse(
         [&]() -> Result<int> {
             BOOST_LEAF_CHECK(role.start());
-            while (!endRequested)
+            while (!stopRequest.requestedAt())
                 std::this_thread::sleep_for(signalPollInterval);
             role.stop();
             return exitOk;
@@ -158,8 +158,8 @@
     const auto arguments = readArguments(argc, argv);
     if (!arguments)
         return exitUsage;
-    std::signal(SIGTERM, requestEnd);
-    std::signal(SIGINT, requestEnd);
+    std::signal(SIGTERM, requestStop);
+    std::signal(SIGINT, requestStop);
     std::signal(SIGPIPE, SIG_IGN);
     // Settings are read at the start; a platform tells of other seeds by this signal, which running
     // processes learn from control as well.
--- a/unittests/gateway/exchangetest.cpp
+++ b/unittests/gateway/exchangetest.cpp
@@ -399,10 +399,17 @@
     Peer &inTime = t.connect();
     inTime.send(ExchangeFixture::request("write", "w2", "Timeout: 1000\r\n"));
     Peer &read = t.connect();
-    read.send(ExchangeFixture::request("read", "r1"));
+    read.send(ExchangeFixture::request("read", "r1", "Timeout: 1000\r\n"));
     REQUIRE(t.runUntil([&] {
         return t.apps[0]->requests.size() + t.apps[1]->requests.size() >= 2;
     }));
+    Peer &lateRead = t.connect();
+    lateRead.send(ExchangeFixture::request("read", "r2"));
+    REQUIRE(t.runUntil([&] {
+        return lateRead.received.find("own answer") != std::string::npos;
+    }));
+    CHECK(lateRead.received.substr(0, 12) == "HTTP/1.1 503");
+    CHECK(t.apps[0]->requests.size() + t.apps[1]->requests.size() == 2);
     for (const auto &it : t.connections)
         it->instanceEnds();
     REQUIRE(t.runUntil([&] {
--- a/unittests/gateway/leavingtest.cpp
+++ b/unittests/gateway/leavingtest.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <initializer_list>
+
 using namespace kumquathaven;
 using namespace kumquathaven::gateway;
 using std::chrono::milliseconds;
@@ -21,18 +23,19 @@
     }
 }
 
-TEST_CASE("a leaving entry accepts a request that may run only once if it can answer it in time")
+// Guards against a promise that depends on the length of the grace period.
+TEST_CASE("a leaving entry accepts exactly the requests whose deadline is before its last answers")
 {
     const TimePoint now{std::chrono::hours(1)};
-    Leaving leaving = leavingFrom(seconds(8), now);
-    deployment::Route once;
-    once.kind = deployment::RequestKind::NonIdempotent;
-    deployment::Route stream;
-    stream.kind = deployment::RequestKind::Streaming;
-    CHECK(acceptsWhileLeaving(leaving, once, now + seconds(5)));
-    CHECK_FALSE(acceptsWhileLeaving(leaving, once, now + seconds(9)));
-    CHECK(acceptsWhileLeaving(leaving, stream, now + seconds(9)));
-    leaving.acceptsRequests = false;
-    CHECK_FALSE(acceptsWhileLeaving(leaving, once, now + seconds(5)));
-    CHECK_FALSE(acceptsWhileLeaving(leaving, stream, now + seconds(5)));
+    for (const int ms : {200, 1'000, 3'000, 8'000, 60'000}) {
+        const Leaving leaving = leavingFrom(milliseconds(ms), now);
+        CAPTURE(ms);
+        for (const int percent : {1, 20, 35, 50, 70, 90, 99, 100, 150}) {
+            const TimePoint deadline = now + milliseconds(ms) * percent / 100;
+            CAPTURE(percent);
+            CHECK(acceptsWhileLeaving(leaving, deadline) == (deadline <= leaving.answersUntil));
+        }
+        CHECK(acceptsWhileLeaving(leaving, leaving.acceptsUntil));
+        CHECK_FALSE(acceptsWhileLeaving(leaving, now + milliseconds(ms)));
+    }
 }
--- a/unittests/runtime/httptest.cpp
+++ b/unittests/runtime/httptest.cpp
@@ -282,6 +282,50 @@
     CHECK(received.find("0\r\n\r\n") == std::string::npos);
 }
 
+// Guards against requests that a stopping server takes just before it cuts all.
+TEST_CASE("a server that stops takes no request in the second half of its time")
+{
+    const auto time = std::chrono::milliseconds(2000);
+    std::atomic<bool> isHeld{true};
+    ServerBounds bounds = smallBounds();
+    bounds.wholeRequest = bounds.idle;
+    const settings::Address at = freeAddress();
+    HttpServer server(bounds, [&](HttpExchange &exchange) {
+        while (exchange.request().path == "/long" && isHeld)
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        echo(exchange);
+    });
+    REQUIRE(server.start(at));
+    const auto statusOf = [&](Poco::Net::StreamSocket &socket, const std::string &path) {
+        const std::string request = "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n";
+        socket.sendBytes(request.data(), static_cast<int>(request.size()));
+        char buf[1024];
+        const int got = socket.receiveBytes(buf, sizeof(buf));
+        const std::string text(buf, static_cast<std::size_t>(std::max(0, got)));
+        return text.size() < 12 ? std::string("none") : text.substr(9, 3);
+    };
+    const Poco::Net::SocketAddress address(at.host, at.port);
+    Poco::Net::StreamSocket first(address);
+    Poco::Net::StreamSocket early(address);
+    Poco::Net::StreamSocket late(address);
+    std::string firstStatus;
+    std::thread caller([&] {
+        firstStatus = statusOf(first, "/long");
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    std::thread stopping([&] {
+        server.stop(time);
+    });
+    std::this_thread::sleep_for(time / 16);
+    CHECK(statusOf(early, "/p") == "200");
+    std::this_thread::sleep_for(time / 2);
+    CHECK(statusOf(late, "/p") == "503");
+    isHeld = false;
+    caller.join();
+    stopping.join();
+    CHECK(firstStatus == "200");
+}
+
 // Guards against requests that are handled and then cut when the server stops.
 TEST_CASE("a server that stops cuts no request that it handles, on connections that stay in use")
 {
