Consensus: a member that is gone leaves the group in its successor's time

Cause: nextAutomaticStep() promoted each learner at once and removed a silent voter after 5 or 15 s, whatever time a successor has. The leader's log shows "promote" with three voters and no "remove" before the loss.

Change: an absent voter is removed after a quarter of catchUpTime where a learner is ready or the rest would not bear the tolerated losses; a learner stays one while its vote would make nothing safer, and is promoted only if its loss would not take the majority; a member that is told to stop says so with its answers, and a leader hands over first; a new leader counts the silence of the one before from its last message. Found by the histories: a proposal right behind a hand-over made the others refuse their votes, so that proposals are refused meanwhile. Entries learn of learners too.

It works because a gone voter is out before the successor's time ends, by single steps that each keep a majority.

--- a/include/kumquathaven/consensus/effects.h
+++ b/include/kumquathaven/consensus/effects.h
@@ -99,6 +99,8 @@
     /// Time since the member's last response; zero for this member and one that was just added.
     Duration timeSinceResponse{};
     bool receivesSnapshot = false;
+    /// Whether the member has said that it is about to end.
+    bool isLeaving = false;
 };
 
 } // namespace kumquathaven::consensus
--- a/include/kumquathaven/consensus/group.h
+++ b/include/kumquathaven/consensus/group.h
@@ -71,6 +71,7 @@
     Result<void> readIndex(std::uint64_t request, TimePoint now);
     Result<EntryId> changeMembers(const MembershipChange &change, TimePoint now);
     Result<void> transferLeadership(const MemberId &target, TimePoint now);
+    void announceLeaving();
 
     /// Makes the effects of all input durable and returns the resulting output. After a storage
     /// failure it returns the error and discards the input. Once the storage works again, the
@@ -114,6 +115,7 @@
     /// Index of the last entry in the output so far, either as an entry or within a snapshot.
     std::uint64_t m_applied = 0;
     std::optional<TimePoint> m_storageDownUntil;
+    bool m_isLeaving = false;
     std::size_t m_tornBytes = 0;
     std::uint64_t m_startCount = 0;
 };
@@ -131,23 +133,47 @@
 /// Rules for a group that changes its members without an operator or a list of instances.
 struct AutomaticMembership
 {
-    /// An unresponsive voter is removed only while the group has more voters than this.
+    /// An unresponsive voter is removed only while the group has more voters than this, or while a
+    /// learner has caught up that takes its place.
     std::size_t minVoters = 3;
     /// A member that has not responded for longer than this is removed. It may join again.
     Duration removalTimeout = std::chrono::seconds(15);
     /// The same timeout while the number of voters is even. The unresponsive voter then only makes
     /// the majority larger, for example after another member has replaced it.
     Duration evenRemovalTimeout = std::chrono::seconds(5);
+    /// The same timeout while the group would lose its majority if it lost as many further voters
+    /// as minVoters is to tolerate.
+    Duration absenceTimeout = std::chrono::seconds(1);
 };
 
+/// Returns the rules for a group that is to bear the loss of \p losses members, and again as soon
+/// as the successor of a lost one has run for \p catchUpTime.
+AutomaticMembership automaticMembership(std::size_t losses, Duration catchUpTime,
+                                        const ReplicaSettings &settings);
+
+/// Returns the number of voters that a group of \p governance.minVoters may lose.
+std::size_t toleratedLosses(const AutomaticMembership &governance);
+
 /// Returns the next membership step of a group that changes its members without an operator. All
-/// present and joining instances are wanted in the sense of nextMembershipStep(). If that yields no
-/// step, an unresponsive member is removed.
+/// present and joining instances are wanted in the sense of nextMembershipStep(). A learner is
+/// promoted only if the group would keep its majority without it, unless voters are missing. The
+/// unresponsive member that has been silent longest is removed; one that is leaving counts as
+/// silent.
 std::optional<MembershipChange> nextAutomaticStep(const Replica &replica,
                                                   const AutomaticMembership &governance,
                                                   const std::vector<MemberId> &joining,
                                                   TimePoint now);
 
+/// Returns whether a group removes the voter \p member when it announces that it is leaving: the
+/// others would not bear the tolerated losses while it counts as a voter.
+bool isRemovedOnLeaving(const Configuration &configuration, const MemberId &member,
+                        const AutomaticMembership &governance);
+
+/// Returns the voter to which a leader that is leaving hands the leadership, so that the group can
+/// remove it. Returns nothing if the group would keep it, or if no other voter responds.
+std::optional<MemberId> nextLeader(const Replica &replica, const AutomaticMembership &governance,
+                                   TimePoint now);
+
 } // namespace kumquathaven::consensus
 
 #endif // KUMQUATHAVEN_CONSENSUS_GROUP_H
--- a/include/kumquathaven/consensus/message.h
+++ b/include/kumquathaven/consensus/message.h
@@ -63,6 +63,9 @@
     /// rejected: an index at or before which the leader should probe next.
     std::uint64_t index = 0;
     std::uint64_t round = 0;
+    /// Whether the member is about to end, perhaps for good. Versions that do not know the field
+    /// skip it, and their members do not set it.
+    bool leaving = false;
 };
 
 /// Carries one chunk of a snapshot. Chunks are sent in the order of their offsets.
--- a/include/kumquathaven/consensus/replica.h
+++ b/include/kumquathaven/consensus/replica.h
@@ -44,7 +44,8 @@
 
     /// Appends a change to the leader's log. The change is committed only once it appears in
     /// Effects::committed. Errors: NotLeader with the leader's instance name as peer; TooLarge;
-    /// Overloaded while too many bytes are uncommitted.
+    /// Overloaded while too many bytes are uncommitted; Unavailable while the leadership is handed
+    /// over.
     Result<EntryId> propose(std::string data, TimePoint now);
 
     /// Requests a linearizable read of the state machine. Effects::reads or Effects::refusedReads
@@ -63,10 +64,14 @@
     /// learner to promote lags behind, or too few of the resulting voters respond to form a quorum.
     Result<EntryId> changeMembers(const MembershipChange &change, TimePoint now);
 
-    /// Asks a voter to become the leader. Errors: NotLeader; InvalidRequest if \p target is not
+    /// Asks a voter to become the leader. Proposals are refused for an election timeout, or until
+    /// the leadership has changed. Errors: NotLeader; InvalidRequest if \p target is not
     /// another voter; Unavailable if its log lags behind.
     Result<void> transferLeadership(const MemberId &target, TimePoint now);
 
+    /// Tells the leader, with each response from now on, that this member is about to end.
+    void announceLeaving() { m_isLeaving = true; }
+
     /// Accepts \p state, the state of the state machine after the applied entry \p index, as the
     /// new snapshot, and drops entries that it makes unnecessary from memory.
     void adoptSnapshot(std::uint64_t index, std::string state);
@@ -141,6 +146,7 @@
         std::uint64_t sentCommit = 0;
         /// Time of the member's last response; the epoch if there was none yet.
         TimePoint lastResponseAt{};
+        bool isLeaving = false;
     };
 
     /// A heartbeat round; a quorum of responses to it extends the lease from its start.
@@ -295,6 +301,8 @@
 
     /// When a leader last contacted this member; initially the time of the start.
     TimePoint m_lastLeaderContactAt{};
+    /// The leader that did; empty if none has.
+    MemberId m_lastLeader;
     /// When the election timeout expires.
     TimePoint m_electionDeadline{};
     TimePoint m_nextHeartbeat{};
@@ -302,6 +310,8 @@
     std::set<MemberId> m_votes;
     /// See isRemoved().
     bool m_removed = false;
+    /// See announceLeaving().
+    bool m_isLeaving = false;
 
     // State of the leader.
     std::map<MemberId, Progress> m_progress;
@@ -318,6 +328,8 @@
     /// Whether this leader requested an election in its term. Its lease then no longer prevents the
     /// election of another member.
     bool m_leaseRevoked = false;
+    /// This leader accepts no proposals before this time, since it handed the leadership over.
+    TimePoint m_transfersUntil{};
 
     IncomingSnapshot m_incoming;
     Effects m_effects;
--- a/include/kumquathaven/settings/settings.h
+++ b/include/kumquathaven/settings/settings.h
@@ -91,6 +91,8 @@
     bool isFirstStart = false;
     /// Control members that may be lost at the same time.
     std::uint32_t lossesTolerated = 1;
+    /// Time after its start in which the successor of a lost control member takes its place.
+    Duration catchUpTime = std::chrono::seconds(4);
     /// Control: where operators hand in declarations. Entries have none.
     Address declarations;
     /// Control: where callers ask for entries. Entries have none.
--- a/lib/consensus/cborvalues.cpp
+++ b/lib/consensus/cborvalues.cpp
@@ -54,6 +54,12 @@
     return m_valid && value.get<bool>();
 }
 
+bool ValueReader::flagOr(const char *field, bool otherwise)
+{
+    const bool isMissing = m_valid && m_value.find(field) == m_value.end();
+    return isMissing ? otherwise : flag(field);
+}
+
 std::string ValueReader::text(const char *field, std::size_t maxBytes)
 {
     const nlohmann::json &value = find(field);
--- a/lib/consensus/cborvalues.h
+++ b/lib/consensus/cborvalues.h
@@ -26,6 +26,8 @@
 
     std::uint64_t number(const char *field);
     bool flag(const char *field);
+    /// Returns \p otherwise if the object has no such field.
+    bool flagOr(const char *field, bool otherwise);
     std::string text(const char *field, std::size_t maxBytes);
     std::string bytes(const char *field, std::size_t maxBytes);
     const nlohmann::json &array(const char *field, std::size_t maxItems);
--- a/lib/consensus/election.cpp
+++ b/lib/consensus/election.cpp
@@ -38,6 +38,7 @@
         becomeFollower(m_hardState.term, leader, now);
     m_leader = leader;
     m_removed = false;
+    m_lastLeader = leader;
     m_lastLeaderContactAt = now;
     resetElectionTimer(now);
 }
@@ -82,17 +83,21 @@
 {
     m_role = Role::Leader;
     m_leader = m_self;
-    m_votes.clear();
+    const std::set<MemberId> votes = std::exchange(m_votes, {});
     m_progress.clear();
     m_rounds.clear();
     m_leaseRevoked = false;
+    m_transfersUntil = TimePoint{};
     m_needsReadRound = false;
     m_uncommittedBytes = 0;
     for (std::uint64_t n = m_commitIndex + 1; n <= lastIndex(); ++n)
         m_uncommittedBytes += entryAt(n)->data.size();
     reconcileProgress();
-    for (auto &it : m_progress)
-        it.second.lastResponseAt = now;
+    // The leader before may have ended; how long it has been silent is known.
+    for (auto &it : m_progress) {
+        const bool isSilent = it.first == m_lastLeader && votes.count(it.first) == 0;
+        it.second.lastResponseAt = isSilent ? m_lastLeaderContactAt : now;
+    }
     m_termStartIndex = lastIndex() + 1;
     append({m_termStartIndex, m_hardState.term, EntryKind::Noop, {}});
     sendHeartbeats(now);
@@ -147,7 +152,7 @@
 
 // The transfer request may arrive at any later time and start an election despite the lease, so the
 // leader must not use its lease again in this term.
-Result<void> Replica::transferLeadership(const MemberId &target, TimePoint)
+Result<void> Replica::transferLeadership(const MemberId &target, TimePoint now)
 {
     if (m_role != Role::Leader)
         return failNotLeader("consensus.transferLeadership");
@@ -163,6 +168,8 @@
              {}});
     }
     m_leaseRevoked = true;
+    // Members with a later entry would not vote for the target.
+    m_transfersUntil = now + m_settings.electionTimeout;
     send(target, m_hardState.term, TransferRequest{});
     return {};
 }
--- a/lib/consensus/group.cpp
+++ b/lib/consensus/group.cpp
@@ -55,6 +55,8 @@
     start.applied = m_applied;
     start.seed = m_settings.seed + m_startCount++;
     m_replica = std::make_unique<Replica>(m_settings.replica, std::move(start), now);
+    if (m_isLeaving)
+        m_replica->announceLeaving();
 }
 
 Result<void> Group::bootstrap(std::string state, TimePoint now)
@@ -117,6 +119,12 @@
     return m_replica->transferLeadership(target, now);
 }
 
+void Group::announceLeaving()
+{
+    m_isLeaving = true;
+    m_replica->announceLeaving();
+}
+
 boost::leaf::error_id Group::failStorageDown(const char *step) const
 {
     return fail({ErrorCode::Unavailable, step, m_settings.instance,
--- a/lib/consensus/membership.cpp
+++ b/lib/consensus/membership.cpp
@@ -9,6 +9,7 @@
 #include <array>
 #include <set>
 #include <tuple>
+#include <utility>
 
 namespace kumquathaven::consensus {
 
@@ -35,6 +36,123 @@
     return progress.matchIndex >= commitIndex;
 }
 
+/// Returns the member of an instance, or null.
+const MemberId *memberOf(const std::vector<MemberId> &members, const std::string &instance)
+{
+    const auto it = std::find_if(members.begin(), members.end(), [&](const MemberId &member) {
+        return member.instance == instance;
+    });
+    return it == members.end() ? nullptr : &*it;
+}
+
+/// Returns the step that adds a member, after any learner of its instance with a former storage
+/// identity is removed.
+MembershipChange stepToAdd(const Configuration &configuration, const MemberId &member)
+{
+    if (const MemberId *former = memberOf(configuration.learners, member.instance))
+        return {MembershipStep::Remove, *former};
+    return {MembershipStep::AddLearner, member};
+}
+
+/// Returns whether a learner can take the place of a voter now.
+bool isReady(const MemberProgress &progress, const AutomaticMembership &governance,
+             std::uint64_t commitIndex)
+{
+    return !progress.isVoter && !progress.isLeaving && isCaughtUp(progress, commitIndex)
+        && progress.timeSinceResponse <= governance.absenceTimeout / 2;
+}
+
+/// Returns whether a voter counts as lost: it has been silent, or says that it is about to end.
+bool isAbsent(const MemberProgress &progress, const AutomaticMembership &governance)
+{
+    return progress.isLeaving || progress.timeSinceResponse > governance.absenceTimeout;
+}
+
+/// The voters of a group, as its leader sees them.
+struct VoterCount
+{
+    std::size_t voters = 0;
+    /// Voters that may be lost already: silent for half of the absence timeout.
+    std::size_t silent = 0;
+    std::size_t absent = 0;
+    bool isAnyLeaving = false;
+    /// Learners that can take the place of voters.
+    std::size_t ready = 0;
+};
+
+VoterCount countVoters(const Replica &replica, const AutomaticMembership &governance,
+                       const std::vector<MemberProgress> &progress)
+{
+    VoterCount count;
+    for (const MemberProgress &it : progress) {
+        if (it.isVoter) {
+            ++count.voters;
+            count.silent += it.timeSinceResponse > governance.absenceTimeout / 2 ? 1 : 0;
+            count.absent += isAbsent(it, governance) ? 1 : 0;
+            count.isAnyLeaving = count.isAnyLeaving || it.isLeaving;
+        } else if (isReady(it, governance, replica.commitIndex())) {
+            ++count.ready;
+        }
+    }
+    return count;
+}
+
+std::size_t majorityOf(std::size_t voters)
+{
+    return voters / 2 + 1;
+}
+
+bool isEven(const VoterCount &count)
+{
+    return count.voters % 2 == 0;
+}
+
+/// Returns whether a learner may become a voter. A voter beyond an odd number makes the majority
+/// larger and nothing safer, so that it stays a learner until a voter leaves or is missing. A
+/// newcomer that is lost at once must not take the majority with it.
+bool mayPromote(const VoterCount &count, const AutomaticMembership &governance)
+{
+    constexpr std::size_t smallestWithLosses = 3;
+    if (count.voters < std::max(governance.minVoters, smallestWithLosses))
+        return true;
+    const bool isUseful = isEven(count) || count.ready > 1 || count.isAnyLeaving;
+    return isUseful && count.voters - count.silent >= majorityOf(count.voters + 1);
+}
+
+bool mayRemoveVoter(const VoterCount &count, const AutomaticMembership &governance)
+{
+    return count.voters + count.ready > governance.minVoters;
+}
+
+/// Returns whether an absent voter is removed without waiting for the longer timeouts: a learner
+/// takes its place, or the voters that respond would not keep a majority if as many of them were
+/// lost as the group is to tolerate.
+bool replacesAbsent(const VoterCount &count, const AutomaticMembership &governance)
+{
+    const std::size_t needed = majorityOf(count.voters) + toleratedLosses(governance);
+    return count.ready > 0 || count.voters < count.absent + needed;
+}
+
+bool isRemovalDue(const MemberProgress &progress, const VoterCount &count,
+                  const AutomaticMembership &governance)
+{
+    const Duration timeout =
+        isEven(count) ? governance.evenRemovalTimeout : governance.removalTimeout;
+    if (!progress.isVoter)
+        return progress.timeSinceResponse > timeout;
+    if (!mayRemoveVoter(count, governance))
+        return false;
+    return progress.timeSinceResponse > timeout || (progress.isLeaving && isEven(count))
+        || (isAbsent(progress, governance) && replacesAbsent(count, governance));
+}
+
+/// Returns whether the leader should remove \p a rather than \p b.
+bool isGoneLonger(const MemberProgress &a, const MemberProgress &b)
+{
+    return std::make_pair(a.isLeaving, a.timeSinceResponse)
+        > std::make_pair(b.isLeaving, b.timeSinceResponse);
+}
+
 } // namespace
 
 std::string_view membershipStepName(MembershipStep step)
@@ -150,49 +268,87 @@
     for (const MemberProgress &it : replica.progress(now)) {
         if (it.isVoter || !isWanted(it.member) || !isCaughtUp(it, replica.commitIndex()))
             continue;
-        for (const MemberId &voter : configuration.voters) {
-            if (voter.instance == it.member.instance)
-                return MembershipChange{MembershipStep::Remove, voter};
-        }
+        if (const MemberId *former = memberOf(configuration.voters, it.member.instance))
+            return MembershipChange{MembershipStep::Remove, *former};
         return MembershipChange{MembershipStep::Promote, it.member};
     }
     for (const MemberId &it : joining) {
-        if (!isWanted(it) || configuration.contains(it))
-            continue;
-        for (const MemberId &learner : configuration.learners) {
-            if (learner.instance == it.instance)
-                return MembershipChange{MembershipStep::Remove, learner};
-        }
-        return MembershipChange{MembershipStep::AddLearner, it};
+        if (isWanted(it) && !configuration.contains(it))
+            return stepToAdd(configuration, it);
     }
     return std::nullopt;
 }
 
+AutomaticMembership automaticMembership(std::size_t losses, Duration catchUpTime,
+                                        const ReplicaSettings &settings)
+{
+    // A successor may start when its predecessor ends, after an election. What is left is for its
+    // snapshot and the steps.
+    constexpr int catchUpShare = 4;
+    AutomaticMembership governance;
+    governance.minVoters = 2 * losses + 1;
+    governance.absenceTimeout = std::max(settings.electionTimeout, catchUpTime / catchUpShare);
+    return governance;
+}
+
+std::size_t toleratedLosses(const AutomaticMembership &governance)
+{
+    return (governance.minVoters - 1) / 2;
+}
+
 std::optional<MembershipChange> nextAutomaticStep(const Replica &replica,
                                                   const AutomaticMembership &governance,
                                                   const std::vector<MemberId> &joining,
                                                   TimePoint now)
 {
     const Configuration &configuration = replica.configuration();
-    std::vector<std::string> wanted;
-    for (const auto *list : {&configuration.voters, &configuration.learners, &joining}) {
-        for (const MemberId &it : *list)
-            wanted.push_back(it.instance);
-    }
-    if (auto step = nextMembershipStep(replica, wanted, joining, now))
-        return step;
     const std::vector<MemberProgress> progress = replica.progress(now);
-    const bool isEven = configuration.voters.size() % 2 == 0;
-    const Duration timeout = isEven ? governance.evenRemovalTimeout : governance.removalTimeout;
-    const auto isUnresponsive = [&](const MemberProgress &it) {
-        return it.member != replica.self() && it.timeSinceResponse > timeout;
-    };
+    const VoterCount count = countVoters(replica, governance, progress);
+    for (const MemberProgress &it : progress) {
+        if (!isReady(it, governance, replica.commitIndex()))
+            continue;
+        if (const MemberId *former = memberOf(configuration.voters, it.member.instance))
+            return MembershipChange{MembershipStep::Remove, *former};
+        if (mayPromote(count, governance))
+            return MembershipChange{MembershipStep::Promote, it.member};
+    }
+    for (const MemberId &it : joining) {
+        if (!configuration.contains(it))
+            return stepToAdd(configuration, it);
+    }
+    const MemberProgress *longest = nullptr;
     for (const MemberProgress &it : progress) {
-        const bool isRemovable = !it.isVoter || configuration.voters.size() > governance.minVoters;
-        if (isUnresponsive(it) && isRemovable)
-            return MembershipChange{MembershipStep::Remove, it.member};
+        if (it.member != replica.self() && isRemovalDue(it, count, governance)
+            && (!longest || isGoneLonger(it, *longest)))
+            longest = &it;
     }
+    if (longest)
+        return MembershipChange{MembershipStep::Remove, longest->member};
     return std::nullopt;
 }
 
+bool isRemovedOnLeaving(const Configuration &configuration, const MemberId &member,
+                        const AutomaticMembership &governance)
+{
+    // Whether learners are ready is known to the leader only.
+    const VoterCount count{configuration.voters.size(), 0, 1, true, configuration.learners.size()};
+    return configuration.isVoter(member) && mayRemoveVoter(count, governance)
+        && (isEven(count) || replacesAbsent(count, governance));
+}
+
+std::optional<MemberId> nextLeader(const Replica &replica, const AutomaticMembership &governance,
+                                   TimePoint now)
+{
+    if (!isRemovedOnLeaving(replica.configuration(), replica.self(), governance))
+        return std::nullopt;
+    const std::vector<MemberProgress> progress = replica.progress(now);
+    const MemberProgress *best = nullptr;
+    for (const MemberProgress &it : progress) {
+        const bool isAble = it.isVoter && it.member != replica.self() && !isAbsent(it, governance);
+        if (isAble && (!best || it.matchIndex > best->matchIndex))
+            best = &it;
+    }
+    return best ? std::optional(best->member) : std::nullopt;
+}
+
 } // namespace kumquathaven::consensus
--- a/lib/consensus/message.cpp
+++ b/lib/consensus/message.cpp
@@ -51,7 +51,11 @@
 
 nlohmann::json toJson(const AppendResponse &body)
 {
-    return {{"accepted", body.accepted}, {"index", body.index}, {"round", body.round}};
+    nlohmann::json value = {
+        {"accepted", body.accepted}, {"index", body.index}, {"round", body.round}};
+    if (body.leaving)
+        value["leaving"] = true;
+    return value;
 }
 
 nlohmann::json toJson(const SnapshotRequest &body)
@@ -127,6 +131,7 @@
     body.accepted = reader.flag("accepted");
     body.index = reader.number("index");
     body.round = reader.number("round");
+    body.leaving = reader.flagOr("leaving", false);
 }
 
 void read(ValueReader &reader, SnapshotRequest &body, const MessageLimits &limits)
--- a/lib/consensus/replica.cpp
+++ b/lib/consensus/replica.cpp
@@ -172,10 +172,14 @@
                  {}});
 }
 
-Result<EntryId> Replica::propose(std::string data, TimePoint)
+Result<EntryId> Replica::propose(std::string data, TimePoint now)
 {
     if (m_role != Role::Leader)
         return failNotLeader("consensus.propose");
+    if (now < m_transfersUntil) {
+        return fail({ErrorCode::Unavailable, "consensus.propose", m_self.instance,
+                     "the leadership is being handed over", Outcome::NotRun, m_settings.heartbeat});
+    }
     if (data.size() > m_settings.maxProposalBytes) {
         return fail({ErrorCode::TooLarge,
                      "consensus.propose",
--- a/lib/consensus/replication.cpp
+++ b/lib/consensus/replication.cpp
@@ -174,6 +174,7 @@
     recordLeaderContact(message.from, now);
     AppendResponse answer = applyAppend(body);
     answer.round = body.round;
+    answer.leaving = m_isLeaving;
     send(message.from, m_hardState.term, answer);
 }
 
@@ -230,6 +231,7 @@
     Progress *progress = recordResponse(message.from, body.round, now);
     if (!progress)
         return;
+    progress->isLeaving = body.leaving;
     if (body.accepted) {
         progress->match = std::max(progress->match, std::min(body.index, lastIndex()));
         progress->next = std::max(progress->next, progress->match + 1);
@@ -261,13 +263,15 @@
     if (m_role != Role::Leader)
         return result;
     if (m_configuration.contains(m_self))
-        result.push_back({m_self, m_configuration.isVoter(m_self), m_durableIndex, {}, false});
+        result.push_back(
+            {m_self, m_configuration.isVoter(m_self), m_durableIndex, {}, false, m_isLeaving});
     for (const auto &it : m_progress) {
         // A member that was just added has not had time to respond.
         const Duration timeSinceResponse =
             it.second.lastResponseAt == TimePoint{} ? Duration(0) : now - it.second.lastResponseAt;
         result.push_back({it.first, m_configuration.isVoter(it.first), it.second.match,
-                          timeSinceResponse, it.second.sendMode == SendMode::Snapshot});
+                          timeSinceResponse, it.second.sendMode == SendMode::Snapshot,
+                          it.second.isLeaving});
     }
     return result;
 }
--- a/lib/control/controlrole.cpp
+++ b/lib/control/controlrole.cpp
@@ -40,6 +40,10 @@
 constexpr Duration platformHeartbeat = std::chrono::milliseconds(150);
 constexpr Duration platformElectionTimeout = std::chrono::milliseconds(600);
 
+/// Time for which a member that is told to stop goes on, so that the leader hears of it and removes
+/// it: a heartbeat, a step of the leader's duty and a commit, each with room for a slow disk.
+constexpr Duration leaveTime = 4 * platformHeartbeat;
+
 constexpr int exitAfterFailure = 1;
 constexpr runtime::RestartPolicy endOnFirstFailure{0};
 
@@ -61,8 +65,8 @@
     log.group.replica.hasAutomaticMembership = true;
     log.group.replica.heartbeat = platformHeartbeat;
     log.group.replica.electionTimeout = platformElectionTimeout;
-    log.automaticMembership.emplace();
-    log.automaticMembership->minVoters = 2 * platform.lossesTolerated + 1;
+    log.automaticMembership = consensus::automaticMembership(
+        platform.lossesTolerated, platform.catchUpTime, log.group.replica);
 }
 
 wire::HubOptions hubOptions(const settings::Settings &settings)
@@ -476,12 +480,21 @@
     // The servers stop one after the other, and half of the grace period is left for the log.
     constexpr int graceShare = 8;
     Duration drain = operatorsDrain;
-    if (settings.platform)
+    Duration leave = leaveTime;
+    if (settings.platform) {
         drain = std::min(drain, settings.platform->stopGrace / graceShare);
+        leave = std::min(leave, settings.platform->stopGrace / graceShare);
+    }
+    const TimePoint leavesUntil = monotonicNow() + leave;
+    bool isToBeRemoved = false;
+    for (const auto &it : logs)
+        isToBeRemoved = it->leave() || isToBeRemoved;
     for (const auto *it : {&declarations, &directory, &metricsServer, &operators}) {
         if (*it)
             (*it)->stop(drain);
     }
+    if (isToBeRemoved)
+        std::this_thread::sleep_until(leavesUntil);
     stopSignal.request();
     if (thread.joinable())
         thread.join();
--- a/lib/control/feedduty.cpp
+++ b/lib/control/feedduty.cpp
@@ -408,15 +408,17 @@
         proposeOrForward({{}, {}, it});
 }
 
-/// Publishes the links of the voters in the catalogue. Where no settings list the control members,
-/// entries read them there.
+/// Publishes the links of all members in the catalogue. Where no settings list the control members,
+/// entries read them there. A learner follows the log as well, and may soon take a voter's place.
 void FeedDuty::updateControlLinks(const LogStatus &status)
 {
     if (!m_publishesMembers)
         return;
     std::vector<std::string> links;
-    for (const consensus::MemberId &it : status.configuration.voters)
-        links.push_back(it.instance);
+    for (const auto *list : {&status.configuration.voters, &status.configuration.learners}) {
+        for (const consensus::MemberId &it : *list)
+            links.push_back(it.instance);
+    }
     if (links != m_machine.published().catalogue->controlLinks)
         proposeOrForward({{}, {}, catalogue::RecordControlLinks{links}});
 }
--- a/lib/control/logduty.cpp
+++ b/lib/control/logduty.cpp
@@ -79,6 +79,16 @@
     return m_ring.tryPush(Remove{instance, std::move(done)});
 }
 
+bool LogDuty::leave()
+{
+    if (!m_settings.automaticMembership)
+        return false;
+    const LogStatus now = status();
+    return consensus::isRemovedOnLeaving(now.configuration, now.self,
+                                         *m_settings.automaticMembership)
+        && m_ring.tryPush(Leave{});
+}
+
 LogStatus LogDuty::status() const
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
--- a/lib/control/logduty.h
+++ b/lib/control/logduty.h
@@ -106,6 +106,10 @@
     /// Removes a member from the group.
     bool remove(const std::string &instance, CommandDone done);
 
+    /// Tells the group that this member is about to end. Returns whether the group removes it,
+    /// which takes a moment in which it should go on.
+    bool leave();
+
     LogStatus status() const;
 
 private:
@@ -134,7 +138,10 @@
         std::string instance;
         CommandDone done;
     };
-    using Event = std::variant<Command, Query, consensus::Message, MembershipStatus, Admit, Remove>;
+    struct Leave
+    { };
+    using Event =
+        std::variant<Command, Query, consensus::Message, MembershipStatus, Admit, Remove, Leave>;
 
     static std::size_t bytesOf(const Event &event);
 
@@ -162,6 +169,8 @@
     void handle(MembershipStatus &event, TimePoint now);
     void handle(Admit &event, TimePoint now);
     void handle(Remove &event, TimePoint now);
+    void handle(Leave &event, TimePoint now);
+    void handOver(TimePoint now);
     void tryBootstrap(TimePoint now);
     void changeMembers(TimePoint now);
     void changeMembersAutomatically(TimePoint now);
@@ -180,6 +189,7 @@
     /// Instances that replied that they do not belong to the group.
     std::set<std::string> m_nonMembers;
     bool m_mayBootstrap = true;
+    bool m_isLeaving = false;
     TimePoint m_nextBootstrapAt;
     /// Members with empty storage that asked to join, keyed by instance name.
     std::map<std::string, consensus::MemberId> m_joining;
--- a/lib/control/logmembership.cpp
+++ b/lib/control/logmembership.cpp
@@ -55,6 +55,32 @@
     });
 }
 
+void LogDuty::handle(Leave &, TimePoint)
+{
+    m_isLeaving = true;
+    m_group->announceLeaving();
+}
+
+/// Hands the leadership to a member that can remove this one.
+void LogDuty::handOver(TimePoint now)
+{
+    const auto target =
+        consensus::nextLeader(m_group->replica(), *m_settings.automaticMembership, now);
+    if (!target)
+        return;
+    orElse(
+        [&]() -> Result<void> {
+            BOOST_LEAF_CHECK(m_group->transferLeadership(*target, now));
+            telemetry::logLine(
+                telemetry::LogLevel::Info, "log", "leadership handed over",
+                {{"group", std::to_string(m_settings.group.group)}, {"to", target->instance}});
+            return {};
+        },
+        [](const Error &) {
+            // Its log lags behind; a later pass tries again.
+        });
+}
+
 /// Bootstraps the group once every other instance has replied that it does not belong to the group.
 /// An instance that lost its disk gets a reply from an instance that belongs to the group, and so
 /// never bootstraps a second group.
@@ -123,6 +149,10 @@
 /// instances that ask to join and that respond.
 void LogDuty::changeMembersAutomatically(TimePoint now)
 {
+    if (m_isLeaving) {
+        handOver(now);
+        return;
+    }
     const consensus::Replica &replica = m_group->replica();
     std::vector<consensus::MemberId> joining;
     for (auto it = m_joining.begin(); it != m_joining.end();) {
--- a/lib/settings/platform.cpp
+++ b/lib/settings/platform.cpp
@@ -71,6 +71,7 @@
 
 void readTimes(MapReader &reader, Platform &platform)
 {
+    reader.duration("catchUpTime", platform.catchUpTime, minTime, maxTime);
     reader.duration("drainTime", platform.drainTime, minTime, maxTime);
     reader.duration("stopGrace", platform.stopGrace, minTime, maxTime);
     reader.duration("inForceTime", platform.inForceTime, minTime, maxTime);
--- a/unittests/consensus/cluster.cpp
+++ b/unittests/consensus/cluster.cpp
@@ -15,7 +15,8 @@
 
 /// Removal timeouts of a group with automatic membership.
 constexpr AutomaticMembership governance{3, std::chrono::milliseconds(400),
-                                         std::chrono::milliseconds(200)};
+                                         std::chrono::milliseconds(200),
+                                         std::chrono::milliseconds(100)};
 
 GroupSettings settingsOf(const std::string &name, const std::vector<std::string> &names,
                          std::uint64_t seed, bool hasAutomaticMembership)
--- a/unittests/consensus/messagetest.cpp
+++ b/unittests/consensus/messagetest.cpp
@@ -61,6 +61,28 @@
     }
 }
 
+// Guards against members that refuse the responses of the version before.
+TEST_CASE("a response tells that its member is leaving, and may leave that out")
+{
+    const Message message{2, memberId(0), memberId(1), 21, AppendResponse{false, 11, 12, true}};
+    const auto isLeaving = [](const nlohmann::json &value) {
+        return orElse(
+            [&]() -> Result<int> {
+                BOOST_LEAF_AUTO(read, messageFromJson(value, {}));
+                return std::get<AppendResponse>(read.body).leaving ? 1 : 0;
+            },
+            [](const Error &) {
+                return -1;
+            });
+    };
+    nlohmann::json value = toJson(message);
+    CHECK(isLeaving(value) == 1);
+    value["leaving"] = "yes";
+    CHECK(isLeaving(value) == -1);
+    value.erase("leaving");
+    CHECK(isLeaving(value) == 0);
+}
+
 TEST_CASE("a message with a missing field or a field of the wrong type is rejected")
 {
     for (const Message &it : samples()) {
--- a/unittests/settings/platformtest.cpp
+++ b/unittests/settings/platformtest.cpp
@@ -173,6 +173,11 @@
              return ms(it.drainTime);
          },
          4e6},
+        {"  catchUpTime: 6s",
+         [&](const auto &it) {
+             return ms(it.catchUpTime);
+         },
+         6000},
         {"  stopGrace: 0.5s",
          [&](const auto &it) {
              return ms(it.stopGrace);
