Gateway: the scope of shared cached prompts names who is isolated

Cause: the scope of customers that are not isolated was the version of the weights alone. An isolated customer moved to a scope of its own and left what it had made in the scope of all others. The engine's record names one salt for both customers, before and after the change. A request kept the scope of the configuration under which it arrived, too, so that a resumed stream of an isolated customer could use what others had left.

Change: a shared scope is a digest of the names of the isolated customers, and empty as before where there are none; each attempt uses the scope under the newest configuration. The map of what is cached where goes by the same scope. The digest moves from lib/quarantine to lib/base.

It works because whoever uses a shared scope is not isolated under any configuration that gives it, so that no memory of earlier ones is needed.

One check set isolation on the customer alone; it now takes the scope from the plan, with the same expectation.

--- a/lib/gateway/exchangesend.cpp
+++ b/lib/gateway/exchangesend.cpp
@@ -91,8 +91,11 @@
 
 PickRequest Exchange::pickRequest() const
 {
-    return {&m_plan->plan,  m_route,    &m_callerHead,        m_customer,
-            m_triedServers, m_deadline, m_failedAtNextRelease};
+    // Who is isolated may have changed since the request arrived.
+    const std::string scope = m_gateway.plan->cacheScopes.scopeOf(
+        m_customer != nullptr ? m_customer->name : std::string());
+    return {&m_plan->plan,  m_route,    &m_callerHead,         m_customer,
+            m_triedServers, m_deadline, m_failedAtNextRelease, scope};
 }
 
 /// Chooses a server for the first attempt. Returns false if the request was refused instead.
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -6,6 +6,7 @@
 
 #include "endedservers.h"
 #include "kumquathaven/budget/peerbudget.h"
+#include "kumquathaven/deployment/cachescopes.h"
 #include "kumquathaven/deployment/dialect.h"
 #include "kumquathaven/deployment/plan.h"
 #include "kumquathaven/quarantine/quarantine.h"
@@ -39,10 +40,12 @@
     explicit PlanInForce(deployment::Plan p)
         : plan(std::move(p))
         , index(plan)
+        , cacheScopes(plan)
     { }
 
     const deployment::Plan plan;
     const deployment::PlanIndex index;
+    const deployment::CacheScopes cacheScopes;
 };
 
 /// Histograms of the times that callers observe, for one kind of request.
--- a/lib/gateway/peerupdate.cpp
+++ b/lib/gateway/peerupdate.cpp
@@ -41,7 +41,7 @@
     json parts = json::array();
     for (const deployment::PromptPart &part : it.parts)
         parts.push_back({part.id, part.tokens});
-    return {it.start, it.customer, it.model, it.version, it.store, std::move(parts)};
+    return {it.start, it.cacheScope, it.model, it.version, it.store, std::move(parts)};
 }
 
 std::uint64_t microsecondsOf(Duration d)
@@ -67,7 +67,7 @@
     if (!isPrompt)
         return false;
     out.start = value[0].get<std::string>();
-    out.customer = value[1].get<std::string>();
+    out.cacheScope = value[1].get<std::string>();
     out.model = value[2].get<std::string>();
     out.version = value[3].get<std::string>();
     out.store = value[4].get<std::string>();
@@ -209,7 +209,7 @@
     for (const PlacedPrompt &it : update.prompts) {
         const std::string part = it.parts.empty() ? std::string() : it.parts.back().id;
         events.push_back(eventOf(EventKind::Prompt,
-                                 it.start + '|' + it.customer + '|' + it.model + '|' + it.version
+                                 it.start + '|' + it.cacheScope + '|' + it.model + '|' + it.version
                                      + '|' + it.store + '|' + part,
                                  toJson(it)));
     }
--- a/lib/gateway/pick.cpp
+++ b/lib/gateway/pick.cpp
@@ -116,18 +116,15 @@
 }
 
 /// Returns the scope under which engines look up cached parts. It contains the weights version,
-/// since a store also keeps parts of earlier versions, and the customer if parts must not be
-/// shared.
-std::string scopeOf(const deployment::Customer *customer, const std::string &version)
+/// since a store also keeps parts of earlier versions.
+std::string engineScopeOf(const PickRequest &request, const std::string &version)
 {
-    const bool isIsolated = customer != nullptr && customer->isolated;
-    return "v" + version + (isIsolated ? "/" + customer->name : std::string());
+    return "v" + version + request.cacheScope;
 }
 
 routing::PrefixScope prefixScopeOf(const PickRequest &request, const std::string &version)
 {
-    const bool isIsolated = request.customer != nullptr && request.customer->isolated;
-    return {isIsolated ? request.customer->name : std::string(), request.head->model, {}, version};
+    return {request.cacheScope, request.head->model, {}, version};
 }
 
 /// Returns the store for a prompt, or null if none can be reached. All instances distribute the
@@ -268,9 +265,8 @@
     if (servers.unreportedPrompts.size() >= maxUnreportedPrompts)
         return;
     const deployment::CallerHead &head = *request.head;
-    const bool isIsolated = request.customer != nullptr && request.customer->isolated;
     servers.unreportedPrompts.push_back({pick.start,
-                                         isIsolated ? request.customer->name : std::string(),
+                                         request.cacheScope,
                                          head.model,
                                          std::to_string(pick.weights.value_or(0)),
                                          {head.prompt.begin(), head.prompt.end() - 1},
@@ -328,7 +324,7 @@
     recordWorkStart(servers, servers.known.at(result.start), now);
     result.ticket = routing::commit(servers.fleet, out, *choice, now);
     result.weights = versionNumber(choice->weightsVersion);
-    result.cacheScope = scopeOf(request.customer, choice->weightsVersion);
+    result.cacheScope = engineScopeOf(request, choice->weightsVersion);
     result.expectedFirstToken = choice->expectedFirstToken;
     result.blocks = out.chains[choice->chain].blocks();
     result.reason = routing::describe(*choice) + "; weights=" + choice->weightsVersion;
--- a/lib/gateway/servers.cpp
+++ b/lib/gateway/servers.cpp
@@ -300,7 +300,7 @@
     for (const deployment::PromptPart &it : prompt.parts)
         parts.push_back({it.id, static_cast<std::uint32_t>(it.tokens)});
     const auto chain = routing::PrefixChain::ofParts(
-        {prompt.customer, prompt.model, {}, prompt.version}, parts, 0, blockTokens);
+        {prompt.cacheScope, prompt.model, {}, prompt.version}, parts, 0, blockTokens);
     if (chain.blocks().empty())
         return;
     if (!prompt.store.empty())
--- a/lib/gateway/servers.h
+++ b/lib/gateway/servers.h
@@ -65,8 +65,8 @@
 struct PlacedPrompt
 {
     std::string start;
-    /// Name of the customer if the prompt must not be shared with other customers; otherwise empty.
-    std::string customer;
+    /// See deployment::CacheScopes.
+    std::string cacheScope;
     std::string model;
     /// Version of the weights.
     std::string version;
@@ -198,6 +198,8 @@
     TimePoint deadline{};
     /// Whether a server with the new release of a running rollout failed it.
     bool failedAtNextRelease = false;
+    /// Scope of cached prompts under the newest plan, see deployment::CacheScopes.
+    std::string cacheScope;
 };
 
 /// The chosen server, and what is sent to it together with the request.
--- a/lib/quarantine/subject.cpp
+++ b/lib/quarantine/subject.cpp
@@ -1,15 +1,10 @@
 #include "kumquathaven/quarantine/subject.h"
 
+#include "kumquathaven/base/digest.h"
 #include "kumquathaven/base/hash.h"
 #include "kumquathaven/base/hex.h"
 
-#include <openssl/evp.h>
-
-#include <array>
-#include <cstdint>
-#include <cstring>
-#include <memory>
-#include <new>
+#include <cstddef>
 
 namespace kumquathaven::quarantine {
 
@@ -19,36 +14,6 @@
 constexpr char separator = ':';
 constexpr std::string_view requestPrefix = "request:";
 
-/// SHA-256 over a list of texts.
-class Digest
-{
-public:
-    Digest()
-        : m_context(EVP_MD_CTX_new(), EVP_MD_CTX_free)
-    {
-        if (!m_context || EVP_DigestInit_ex(m_context.get(), EVP_sha256(), nullptr) != 1)
-            throw std::bad_alloc();
-    }
-
-    /// Adds a text with its length, so that no two lists of texts give the same bytes.
-    void add(std::string_view text)
-    {
-        const std::uint64_t length = text.size();
-        EVP_DigestUpdate(m_context.get(), &length, sizeof(length));
-        EVP_DigestUpdate(m_context.get(), text.data(), text.size());
-    }
-
-    std::array<unsigned char, EVP_MAX_MD_SIZE> finish()
-    {
-        std::array<unsigned char, EVP_MAX_MD_SIZE> bytes{};
-        EVP_DigestFinal_ex(m_context.get(), bytes.data(), nullptr);
-        return bytes;
-    }
-
-private:
-    std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> m_context;
-};
-
 } // namespace
 
 std::string partName(std::string_view id)
@@ -68,12 +33,7 @@
         for (const std::string_view it : request.promptParts)
             digest.add(it);
     }
-    const auto bytes = digest.finish();
-    std::uint64_t high = 0;
-    std::uint64_t low = 0;
-    std::memcpy(&high, bytes.data(), sizeof(high));
-    std::memcpy(&low, bytes.data() + sizeof(high), sizeof(low));
-    return std::string(requestPrefix) + toHex(high) + toHex(low);
+    return std::string(requestPrefix) + digest.finish();
 }
 
 SubjectKind kindOf(std::string_view name)
--- a/unittests/gateway/enginefixture.h
+++ b/unittests/gateway/enginefixture.h
@@ -79,7 +79,7 @@
 
     PickRequest request(TimePoint now) const
     {
-        return {&plan, &route, &head, nullptr, {}, now + std::chrono::seconds(8)};
+        return {&plan, &route, &head, nullptr, {}, now + std::chrono::seconds(8), false, {}};
     }
 
     void list(Servers &servers, std::size_t n, std::uint64_t version, TimePoint now) const
--- a/unittests/gateway/enginesimulation.h
+++ b/unittests/gateway/enginesimulation.h
@@ -336,7 +336,7 @@
         m_route.objective = query.isLong ? longObjective : shortObjective;
         const TimePoint deadline = query.firstSentAt + (query.isLong ? longTime : shortTime);
         Servers &servers = m_instances[query.instance];
-        const PickRequest request{&m_plan, &m_route, &head, nullptr, {}, deadline};
+        const PickRequest request{&m_plan, &m_route, &head, nullptr, {}, deadline, false, {}};
         if (!m_config.refuses) {
             const auto pick = gateway::pick(servers, request, now);
             REQUIRE(pick);
--- a/unittests/gateway/exchangefixture.cpp
+++ b/unittests/gateway/exchangefixture.cpp
@@ -149,6 +149,7 @@
         deployment::CallerHead head;
         head.requestId = runtime::headerValue(fields, "Id");
         head.model = runtime::headerValue(fields, "Model");
+        head.key = runtime::headerValue(fields, "Key");
         const std::string timeout = runtime::headerValue(fields, "Timeout");
         if (!timeout.empty())
             head.timeout = std::chrono::milliseconds(std::stoi(timeout));
@@ -161,7 +162,8 @@
                                         const deployment::ForwardingContext &context) {
         runtime::HeaderFields out{{"Host", "a"},
                                   {"Id", runtime::headerValue(fields, "Id")},
-                                  {"Prompt", runtime::headerValue(fields, "Prompt")}};
+                                  {"Prompt", runtime::headerValue(fields, "Prompt")},
+                                  {"Scope", context.cacheScope}};
         if (!context.resumeAfter.empty())
             out.emplace_back("Resume", context.resumeAfter);
         return out;
--- a/unittests/gateway/exchangefixture.h
+++ b/unittests/gateway/exchangefixture.h
@@ -75,9 +75,9 @@
 
 /// Settings of an instance on a platform.
 settings::Settings platformSettings();
-/// A dialect whose fields are "Id" of requests and answers, "Timeout" in milliseconds, "Prompt"
-/// with the ids of parts of 100 tokens, "Resume" and "Not-Run". Refusals are 503 for what has not
-/// run, else 502.
+/// A dialect whose fields are "Id" of requests and answers, "Timeout" in milliseconds, "Key",
+/// "Prompt" with the ids of parts of 100 tokens, "Scope", "Resume" and "Not-Run". Refusals are 503
+/// for what has not run, else 502.
 deployment::Dialect testDialect();
 
 /// A gateway with a plain service "app" and an engine service "lm". Routes: "read" (idempotent),
--- a/unittests/gateway/exchangetest.cpp
+++ b/unittests/gateway/exchangetest.cpp
@@ -420,3 +420,47 @@
     CHECK(inTime.received.substr(0, 12) == "HTTP/1.1 502");
     CHECK(t.gateway.running == 0);
 }
+
+// Guards against a request that goes on under the scope of a plan that is no longer in force.
+TEST_CASE("an attempt after a change of who is isolated uses the scope of the new plan")
+{
+    struct Row
+    {
+        bool isIsolatedBefore;
+        bool isIsolatedLater;
+        std::string before;
+    };
+    for (const Row &row : {Row{false, true, "v1"}, Row{true, false, "v1/north"}}) {
+        CAPTURE(row.before);
+        ExchangeFixture t;
+        const auto planWith = [&](bool isIsolated) {
+            deployment::Plan plan = t.gateway.plan->plan;
+            plan.customers.resize(1);
+            plan.customers[0].name = "north";
+            plan.customers[0].keys = {"k"};
+            plan.customers[0].isolated = isIsolated;
+            return std::make_shared<const PlanInForce>(std::move(plan));
+        };
+        t.gateway.plan = planWith(row.isIsolatedBefore);
+        std::vector<std::string> scopes;
+        for (const auto &it : t.engines)
+            it->answer = [&](Peer &peer, const std::string &request) {
+                scopes.push_back(fieldOf(request, "Scope"));
+                if (scopes.size() == 1) {
+                    peer.send(streamHead("s1") + streamEvent(1));
+                    t.gateway.plan = planWith(row.isIsolatedLater);
+                    peer.reset();
+                } else {
+                    peer.send(streamHead("s1") + streamEvent(2) + std::string(http::lastChunk));
+                }
+            };
+        Peer &caller = t.connect();
+        caller.send(ExchangeFixture::request("ask", "s1", "Key: k\r\nPrompt: aa,bb\r\n"));
+        REQUIRE(t.runUntil([&] {
+            return caller.received.find("piece 2") != std::string::npos;
+        }));
+        const std::string later = "v1" + t.gateway.plan->cacheScopes.scopeOf("north");
+        CHECK(scopes == std::vector<std::string>{row.before, later});
+        CHECK(later == (row.isIsolatedLater ? "v1/north" : "v1"));
+    }
+}
--- a/unittests/gateway/releasestest.cpp
+++ b/unittests/gateway/releasestest.cpp
@@ -93,7 +93,7 @@
 
     PickRequest request(bool failedAtNext = false) const
     {
-        return {&plan, &plan.routes[0], &head, nullptr, {}, at(8000), failedAtNext};
+        return {&plan, &plan.routes[0], &head, nullptr, {}, at(8000), failedAtNext, {}};
     }
 
     deployment::Plan plan = planOf();
--- a/unittests/gateway/serverstest.cpp
+++ b/unittests/gateway/serverstest.cpp
@@ -1,6 +1,8 @@
 #include "enginefixture.h"
 #include "peerupdate.h"
 
+#include "kumquathaven/deployment/cachescopes.h"
+
 #include <doctest/doctest.h>
 
 #include <map>
@@ -108,7 +110,9 @@
     fixture.list(servers, 1, 4, at(0));
     PickRequest request = fixture.request(at(1));
     const auto sharedPick = gateway::pick(servers, request, at(1));
-    request.customer = &customer;
+    fixture.plan.customers = {customer};
+    request.customer = &fixture.plan.customers[0];
+    request.cacheScope = deployment::CacheScopes(fixture.plan).scopeOf(customer.name);
     const auto isolatedPick = gateway::pick(servers, request, at(1));
     REQUIRE(sharedPick);
     REQUIRE(isolatedPick);
