Quarantine: a verdict is tried, and final only if a trial has proved it

Cause: answers to requests that were no suspects were not remembered, so that one that had been answered all the time counted as never answered; crashes counted also where every server crashed, whatever it was sent; and a verdict refused the only requests that could have refuted it. The log shows dozens of answers, three suspicions, the verdict, and then refusals alone.

Change: answers to requests are remembered in a table of bounded size. A verdict lets single requests through as trials, after 2 s and six times later after each one whose server crashed; an answer lifts it. Callers get 503 with the time of the next trial until a trial has proved the verdict: its server crashed while another one of the service went on, and none crashed without the subject since. Then they get 400. Both data paths take it from lib/quarantine; on the native one a request is withdrawn only for what was convicted after its admission. Trials and proof travel inside the number of crashes, which the version before reads.

It works because a sound request is answered by its first trial after the trouble, and a guilty one is held from the same crash on as before.

--- a/include/kumquathaven/quarantine/evidence.h
+++ b/include/kumquathaven/quarantine/evidence.h
@@ -7,6 +7,11 @@
 // customer and most of their parts. A subject is convicted if several servers crashed at different
 // moments under requests with it and no request with it was ever answered.
 //
+// Requests with a convicted subject are refused, so that nothing could show any more that it is
+// sound. Single requests with it are therefore let through as trials, rarer after each one whose
+// server crashed. An answer lifts the verdict. Until a trial has proved it, callers may come back:
+// a crash proves nothing if it may have come whatever the server was sent.
+//
 // The functions are pure: what was observed and the current time are arguments. Every instance
 // records what all instances observed, and judges by itself.
 
@@ -25,6 +30,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace kumquathaven::quarantine {
@@ -44,9 +50,6 @@
     std::size_t maxSuspects = 64;
     std::size_t maxAnswered = 8'192;
     std::size_t maxVerdicts = 256;
-    /// Whether answers are remembered although the subject is no suspect. Nearly all requests come
-    /// once.
-    bool remembersAllAnswers = true;
 };
 
 /// A request waits at one server at a time, so that few crashes have a sound one in common.
@@ -55,8 +58,6 @@
     KindPolicy policy;
     policy.minCrashesIfAnswered = 4;
     policy.minBurst = 3;
-    policy.maxAnswered = 1'024;
-    policy.remembersAllAnswers = false;
     return policy;
 }
 
@@ -92,7 +93,17 @@
     /// How long instances may take to report a crash.
     Duration maxReportDelay = std::chrono::seconds(10);
 
+    /// The first trial of a verdict begins this long after the conviction, and each further one
+    /// after a time that grows by a factor with each trial whose server crashed, up to
+    /// verdictLifetime.
+    Duration firstTrialDelay = std::chrono::seconds(2);
+    int trialDelayFactor = 6;
+    /// A crash later than this after the beginning of a trial has nothing to do with it.
+    Duration maxTrialTime = std::chrono::seconds(10);
+
     std::size_t maxCrashes = 256;
+    /// Starts of servers whose answers are remembered.
+    std::size_t maxStarts = 4'096;
 
     const KindPolicy &of(std::string_view subject) const
     {
@@ -121,17 +132,40 @@
     bool isExplained = false;
 };
 
+/// A request with a convicted subject that this instance let through.
+struct Trial
+{
+    TimePoint beganAt{};
+    /// Number of trials that had failed before. Two instances may begin one trial at once.
+    std::uint32_t failedBefore = 0;
+    /// When its server crashed, which start that was, and of which service.
+    std::optional<TimePoint> failedAt;
+    std::string service;
+    std::string start;
+    /// Whether another server of the service answered before and after that crash.
+    bool isWitnessed = false;
+};
+
 struct Verdict
 {
-    /// Counts the verdicts and liftings of a subject. The larger one is newer.
+    /// Counts the verdicts, trials and liftings of a subject. The larger one is newer.
     std::uint64_t generation = 0;
     /// Whether an answer or an operator has lifted the verdict.
     bool isLifted = false;
     /// Number of crashes under requests with the subject.
     std::uint32_t crashes = 0;
+    /// When the subject was convicted, or its last trial began or failed.
     TimePoint decidedAt{};
     /// When the verdict, or the record of its lifting, lapses.
     TimePoint expiresAt{};
+    /// Number of trials whose server crashed.
+    std::uint32_t failedTrials = 0;
+    /// Whether a trial has shown that the crashes come with the subject.
+    bool isProven = false;
+    /// When this instance learned of the verdict.
+    TimePoint knownSince{};
+    /// The last trial that this instance began.
+    std::optional<Trial> trial = std::nullopt;
 };
 
 /// Subjects that were answered, with the time of their last answer. Memory is bounded: when the
@@ -150,6 +184,11 @@
     /// By SubjectKind.
     std::array<AnsweredSubjects, subjectKindNames.size()> answered;
     std::map<std::string, Verdict> verdicts;
+    /// When the starts of the servers of each service last answered.
+    std::map<std::pair<std::string, std::string>, TimePoint> lastAnswers;
+    /// Names of this instance and of all that may begin trials.
+    std::string self;
+    std::vector<std::string> instances;
     /// Whether crashes were recorded that judge() has not come to an end with.
     bool isReviewDue = false;
     /// Crashes that were dropped because there were too many, and convictions that found no room.
@@ -162,7 +201,9 @@
     Allowed,
     /// A verdict about one of its subjects is due within Policy::settleTime.
     Pending,
-    /// One of its subjects crashes servers.
+    /// One of its subjects is convicted, and the request may show that it is sound.
+    Trial,
+    /// One of its subjects is convicted.
     Refused,
 };
 
@@ -189,7 +230,24 @@
 /// Convicts the subjects for which there is enough evidence. Returns them.
 std::vector<std::string> judge(Evidence &evidence, TimePoint now);
 
-/// Returns what is to be done with a request. A refusal extends the verdict.
+/// Records that a start of a server of a service answered something.
+void recordLife(Evidence &evidence, const std::string &service, const std::string &start,
+                TimePoint now);
+
+/// Records that a server crashed under a request with the subject, sent by this instance. Returns
+/// whether that was a trial, which failed.
+bool failTrial(Evidence &evidence, const std::string &subject, const std::string &service,
+               const std::string &start, TimePoint at);
+
+/// Proves the verdicts of which a trial failed while another server of the service went on, and
+/// since whose beginning no server crashed without their subject. Returns their subjects.
+std::vector<std::string> prove(Evidence &evidence, TimePoint now);
+
+/// Returns when the next trial of a verdict is due.
+TimePoint nextTrialAt(const Policy &policy, const Verdict &verdict);
+
+/// Returns what is to be done with a request. A refusal extends the verdict. Few instances at a
+/// time begin the trial of one verdict.
 Admission admit(Evidence &evidence, const std::vector<std::string> &subjects, TimePoint now);
 
 /// Returns the subject for which a request is refused; empty if there is none.
--- a/include/kumquathaven/quarantine/quarantine.h
+++ b/include/kumquathaven/quarantine/quarantine.h
@@ -51,8 +51,11 @@
 public:
     explicit Quarantine(telemetry::Metrics &metrics);
 
+    /// Sets the names of this instance and of all instances that serve requests.
+    void setInstances(std::string self, std::vector<std::string> instances);
+
     /// Fails with Quarantined if a subject of the request crashes servers, and with Overloaded
-    /// while that is being decided.
+    /// while that is being decided or not proven.
     Result<void> admit(const std::vector<std::string> &subjects, TimePoint now);
 
     /// Returns whether a request whose server may have crashed may be sent to another one.
@@ -61,11 +64,23 @@
     /// Returns whether a subject of the request is convicted.
     bool isConvicted(const std::vector<std::string> &subjects, TimePoint now) const;
 
+    /// Returns whether a subject of the request was convicted, or a trial of it began, after \p
+    /// since, when the request was admitted.
+    bool isConvictedSince(const std::vector<std::string> &subjects, TimePoint since,
+                          TimePoint now) const;
+
+    /// Returns the error for a request with a convicted subject: Quarantined if that is proven,
+    /// else Overloaded with the time of the next trial.
+    Error errorOf(const std::string &subject, Outcome outcome, TimePoint now) const;
+
+    /// Records that a start of a server answered something.
+    void recordLife(const std::string &service, const std::string &start, TimePoint now);
+
     /// Records that a server began to answer a request.
     void recordAnswer(const std::vector<std::string> &subjects, TimePoint now);
 
-    /// Records that a server crashed under requests of this instance.
-    void recordCrash(const std::string &start,
+    /// Records that a server of a service crashed under requests of this instance.
+    void recordCrash(const std::string &service, const std::string &start,
                      const std::vector<std::vector<std::string>> &requests, TimePoint at);
 
     /// Apply what other instances observed. The last one returns whether requests with the subject
@@ -98,14 +113,13 @@
     telemetry::Counter &m_refused;
     telemetry::Counter &m_convicted;
     telemetry::Counter &m_lifted;
+    telemetry::Counter &m_trials;
+    telemetry::Counter &m_failedTrials;
     /// Verdicts in force by SubjectKind.
     std::array<telemetry::Gauge *, subjectKindNames.size()> m_inForce;
     telemetry::Gauge &m_dropped;
 };
 
-/// Returns the error for a request that crashes servers, itself or by a part of its prompt.
-Error quarantinedError(const std::string &subject, std::uint32_t crashes, Outcome outcome);
-
 } // namespace kumquathaven::quarantine
 
 #endif // KUMQUATHAVEN_QUARANTINE_QUARANTINE_H
--- a/lib/entry/fleetquarantine.cpp
+++ b/lib/entry/fleetquarantine.cpp
@@ -96,6 +96,7 @@
 {
     auto admitted = [&] {
         const std::lock_guard<std::mutex> lock(m_mutex);
+        updateInstances();
         m_quarantine.judge(now);
         return m_quarantine.admit(subjects, now);
     }();
@@ -103,23 +104,42 @@
     return admitted;
 }
 
-bool FleetQuarantine::isConvicted(const std::vector<std::string> &subjects, TimePoint now)
+/// Tells the quarantine who else may begin trials, if that has changed.
+void FleetQuarantine::updateInstances()
+{
+    const auto instances = m_view.current().instances;
+    if (std::exchange(m_instances, instances) == instances)
+        return;
+    std::vector<std::string> names;
+    for (const auto &it : instances->entries)
+        names.push_back(it.first);
+    m_quarantine.setInstances(m_name, std::move(names));
+}
+
+std::optional<Error> FleetQuarantine::withdrawal(const std::vector<std::string> &subjects,
+                                                 TimePoint since, TimePoint now)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
     m_quarantine.judge(now);
-    return m_quarantine.isConvicted(subjects, now);
+    if (!m_quarantine.isConvictedSince(subjects, since, now))
+        return std::nullopt;
+    const std::string subject =
+        quarantine::convictedSubject(m_quarantine.evidence(), subjects, now);
+    return m_quarantine.errorOf(subject, Outcome::Unknown, now);
 }
 
-void FleetQuarantine::recordAnswer(const std::vector<std::string> &subjects, TimePoint now)
+void FleetQuarantine::recordAnswer(const std::string &route, const catalogue::Upstream &upstream,
+                                   const std::vector<std::string> &subjects, TimePoint now)
 {
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
+        m_quarantine.recordLife(route, upstream.head.name, now);
         m_quarantine.recordAnswer(subjects, now);
     }
     tellOthers(now);
 }
 
-bool FleetQuarantine::checkUpstream(const catalogue::Upstream &upstream,
+bool FleetQuarantine::checkUpstream(const std::string &route, const catalogue::Upstream &upstream,
                                     const std::vector<std::string> &subjects, TimePoint now)
 {
     const bool isEnded = hasEnded(upstream);
@@ -128,7 +148,7 @@
         const std::lock_guard<std::mutex> lock(m_mutex);
         mayRetry = m_quarantine.mayRetryAfterCrash(subjects, now);
         if (isEnded)
-            m_quarantine.recordCrash(upstream.head.name, {subjects}, now);
+            m_quarantine.recordCrash(route, upstream.head.name, {subjects}, now);
     }
     tellOthers(now);
     return mayRetry || !isEnded;
--- a/lib/entry/fleetquarantine.h
+++ b/lib/entry/fleetquarantine.h
@@ -10,7 +10,9 @@
 #include "kumquathaven/telemetry/metrics.h"
 #include "kumquathaven/wire/hub.h"
 
+#include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,15 +44,18 @@
     /// that is being decided.
     Result<void> admit(const std::vector<std::string> &subjects, TimePoint now);
 
-    /// Returns whether a subject is convicted.
-    bool isConvicted(const std::vector<std::string> &subjects, TimePoint now);
+    /// Returns the error with which a request that waits at an upstream is withdrawn, if one of its
+    /// subjects was convicted after \p since, when it was admitted.
+    std::optional<Error> withdrawal(const std::vector<std::string> &subjects, TimePoint since,
+                                    TimePoint now);
 
-    /// Records that an upstream began to answer.
-    void recordAnswer(const std::vector<std::string> &subjects, TimePoint now);
+    /// Records that an upstream began to answer a request of a route.
+    void recordAnswer(const std::string &route, const catalogue::Upstream &upstream,
+                      const std::vector<std::string> &subjects, TimePoint now);
 
     /// Takes the end of an attempt that may have crashed its upstream. Checks whether the upstream
     /// ended, and returns whether the request may be sent to another one.
-    bool checkUpstream(const catalogue::Upstream &upstream,
+    bool checkUpstream(const std::string &route, const catalogue::Upstream &upstream,
                        const std::vector<std::string> &subjects, TimePoint now);
 
     /// Returns what this instance knows, for operators.
@@ -60,6 +65,7 @@
     bool lift(const std::string &subject, TimePoint now);
 
 private:
+    void updateInstances();
     void receive(const std::string &peer, const std::string &body, TimePoint now);
     void tellOthers(TimePoint now);
     void send(const std::string &to, const quarantine::QuarantineNews &news, TimePoint now);
@@ -70,6 +76,7 @@
     telemetry::Counter &m_malformedFrames;
     std::mutex m_mutex;
     quarantine::Quarantine m_quarantine;
+    std::shared_ptr<const catalogue::Instances> m_instances;
 };
 
 } // namespace kumquathaven::entry
--- a/lib/entry/passage.h
+++ b/lib/entry/passage.h
@@ -23,6 +23,8 @@
     /// Names of what of the request can crash upstreams.
     std::vector<std::string> subjects = {};
     std::chrono::system_clock::time_point startedAt;
+    /// When the quarantine let the request through.
+    TimePoint admittedAt{};
 };
 
 } // namespace kumquathaven::entry
--- a/lib/entry/pipeline.cpp
+++ b/lib/entry/pipeline.cpp
@@ -90,6 +90,7 @@
                                   passage.state.settings.freshnessBound));
     // Before the steps that reserve tokens or wait for a turn.
     passage.subjects = subjectsOf(passage.request);
+    passage.admittedAt = now;
     return passage.state.quarantine->admit(passage.subjects, now);
 }
 
--- a/lib/entry/router.cpp
+++ b/lib/entry/router.cpp
@@ -34,8 +34,7 @@
 /// Returns whether an attempt failed because this side ended it.
 bool wasEndedByUs(const AttemptReport &report)
 {
-    return report.end == AttemptEnd::CallerGone || report.madeWay
-        || (report.error && report.error->code == ErrorCode::Quarantined)
+    return report.end == AttemptEnd::CallerGone || report.madeWay || report.isWithdrawn
         || (report.error && report.error->code == ErrorCode::DeadlineExceeded);
 }
 
--- a/lib/entry/upstreamattempt.h
+++ b/lib/entry/upstreamattempt.h
@@ -49,6 +49,8 @@
     std::optional<TimePoint> firstPartAt;
     /// Whether the attempt was ended to be tried elsewhere.
     bool madeWay = false;
+    /// Whether the attempt was ended since the request must not run any more.
+    bool isWithdrawn = false;
     /// Events of a stream that the sink took.
     std::uint32_t events = 0;
 };
@@ -60,9 +62,9 @@
     std::optional<TimePoint> giveUpAt;
     /// Returns whether the attempt should make way for one elsewhere. Asked while it waits.
     std::function<bool()> makesWay;
-    /// Returns whether the request must not run any more. Asked while it waits; the attempt then
-    /// ends with Quarantined.
-    std::function<bool()> isWithdrawn;
+    /// Returns the error with which the request must not run any more, if it must not. Asked while
+    /// it waits; the attempt then ends with it.
+    std::function<std::optional<Error>()> withdrawal;
     /// Called at the first part of a stream.
     std::function<void(TimePoint)> arrived;
 };
--- a/lib/entry/upstreamstep.cpp
+++ b/lib/entry/upstreamstep.cpp
@@ -96,8 +96,9 @@
     watch.arrived = [&](TimePoint at) {
         router.firstToken(choice, request, at);
     };
-    watch.isWithdrawn = [&] {
-        return passage.state.quarantine->isConvicted(passage.subjects, monotonicNow());
+    watch.withdrawal = [&] {
+        return passage.state.quarantine->withdrawal(passage.subjects, passage.admittedAt,
+                                                    monotonicNow());
     };
     if (plan.isContinued || choice.ticket == 0 || !request.route->repeatable)
         return watch;
@@ -141,8 +142,7 @@
 bool mayTryAgain(const CallerRequest &request, const AttemptReport &report)
 {
     const bool isGivenUp = report.error && report.error->code == ErrorCode::DeadlineExceeded;
-    const bool isWithdrawn = report.error && report.error->code == ErrorCode::Quarantined;
-    return report.end == AttemptEnd::Failed && !isGivenUp && !isWithdrawn
+    return report.end == AttemptEnd::Failed && !isGivenUp && !report.isWithdrawn
         && (report.error->outcome == Outcome::NotRun || request.route->repeatable);
 }
 
@@ -229,9 +229,10 @@
     FleetQuarantine &quarantine = *passage.state.quarantine;
     const TimePoint now = monotonicNow();
     if (showsSoundRequest(report))
-        quarantine.recordAnswer(passage.subjects, now);
+        quarantine.recordAnswer(passage.request.route->head.name, upstream, passage.subjects, now);
     else if (mayHaveCrashed(report))
-        return !quarantine.checkUpstream(upstream, passage.subjects, now);
+        return !quarantine.checkUpstream(passage.request.route->head.name, upstream,
+                                         passage.subjects, now);
     return false;
 }
 
--- a/lib/gateway/exchange.cpp
+++ b/lib/gateway/exchange.cpp
@@ -169,10 +169,7 @@
     if (m_isFinished || m_hasAnswerBegun)
         return;
     endAttempt(AttemptEnd::Abandoned);
-    const auto &verdicts = m_gateway.quarantine.evidence().verdicts;
-    const auto verdict = verdicts.find(subject);
-    endWithError(quarantine::quarantinedError(
-        subject, verdict == verdicts.end() ? 0 : verdict->second.crashes, m_outcome));
+    endWithError(m_gateway.quarantine.errorOf(subject, m_outcome, monotonicNow()));
 }
 
 void Exchange::instanceEnds()
--- a/lib/gateway/exchangeanswer.cpp
+++ b/lib/gateway/exchangeanswer.cpp
@@ -167,7 +167,9 @@
     if (std::exchange(m_hasAnswerBegun, true))
         return;
     stopWaiting();
-    m_gateway.quarantine.recordAnswer(m_subjects, monotonicNow());
+    const TimePoint now = monotonicNow();
+    m_gateway.quarantine.recordLife(m_pick->service, m_pick->start, now);
+    m_gateway.quarantine.recordAnswer(m_subjects, now);
 }
 
 void Exchange::recordCallerPause(TimePoint now)
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -72,7 +72,10 @@
     , endedServers(loop, m,
                    [this](const std::string &start, TimePoint at,
                           const std::vector<std::vector<std::string>> &requests) {
-                       quarantine.recordCrash(start, requests, at);
+                       const auto server = servers.known.find(start);
+                       const bool isKnown = server != servers.known.end();
+                       quarantine.recordCrash(isKnown ? server->second.listed.service : "", start,
+                                              requests, at);
                    })
     , counters(m)
     , gauges(m)
--- a/lib/gateway/gatewayrole.cpp
+++ b/lib/gateway/gatewayrole.cpp
@@ -312,6 +312,10 @@
         gateway.servers.fleet.entries = gateway.retryRules.instances;
         gateway.servers.releases.instances = servingInstances(*snapshot.instances);
         peers.updateInstances(*snapshot.instances, now);
+        std::vector<std::string> names;
+        for (const auto &it : snapshot.instances->entries)
+            names.push_back(it.first);
+        gateway.quarantine.setInstances(settings.instance, std::move(names));
     }
     lastSnapshot = snapshot;
     if (isNewCatalogue) {
--- a/lib/quarantine/messages.cpp
+++ b/lib/quarantine/messages.cpp
@@ -20,6 +20,10 @@
 constexpr std::uint64_t maxAgeUs = 86'400'000'000;
 constexpr std::uint32_t maxCrashes = 1'000'000;
 constexpr std::size_t maxNews = 1'024;
+/// The number of crashes also carries the state of trials, in decimal places above those of the
+/// crashes: versions that do not know of trials require four elements, and show the sum.
+constexpr std::uint32_t crashPlaces = 1'000;
+constexpr std::uint32_t trialPlaces = 100;
 
 std::uint64_t microseconds(Duration d)
 {
@@ -111,8 +115,11 @@
 {
     const Verdict &it = verdict.verdict;
     const std::uint64_t ageMs = microseconds(now - it.decidedAt) / 1'000;
-    return wire::toCbor(json::array(
-        {verdict.subject, it.isLifted, it.crashes, wallNow - std::min(wallNow, ageMs)}));
+    const std::uint32_t crashes = std::min(it.crashes, crashPlaces - 1)
+        + crashPlaces
+            * (std::min(it.failedTrials, trialPlaces - 1) + (it.isProven ? trialPlaces : 0));
+    return wire::toCbor(
+        json::array({verdict.subject, it.isLifted, crashes, wallNow - std::min(wallNow, ageMs)}));
 }
 
 Result<SubjectVerdict> decodeVerdict(std::string_view bytes, const std::string &peer, TimePoint now,
@@ -130,7 +137,11 @@
     const std::uint64_t ageUs =
         std::min(maxAgeUs / 1'000, wallNow - std::min(wallNow, decidedAt)) * 1'000;
     out.verdict.isLifted = value[1].get<bool>();
-    out.verdict.crashes = value[2].get<std::uint32_t>();
+    const auto crashes = value[2].get<std::uint32_t>();
+    out.verdict.crashes = crashes % crashPlaces;
+    out.verdict.failedTrials = crashes / crashPlaces % trialPlaces;
+    out.verdict.isProven = crashes / crashPlaces >= trialPlaces;
+    out.verdict.knownSince = now;
     out.verdict.decidedAt = now - Duration(static_cast<Duration::rep>(ageUs));
     return Result<SubjectVerdict>(std::move(out));
 }
@@ -139,12 +150,16 @@
 {
     json verdicts = json::array();
     for (const auto &[subject, it] : evidence.verdicts)
-        verdicts.push_back({{"kind", nameOf(subjectKindNames, kindOf(subject))},
-                            {"subject", subject},
-                            {"crashes", it.crashes},
-                            {"inForce", isInForce(it, now)},
-                            {"ageSeconds", toSeconds(now - it.decidedAt)},
-                            {"lapsesInSeconds", toSeconds(it.expiresAt - now)}});
+        verdicts.push_back(
+            {{"kind", nameOf(subjectKindNames, kindOf(subject))},
+             {"subject", subject},
+             {"crashes", it.crashes},
+             {"failedTrials", it.failedTrials},
+             {"proven", it.isProven},
+             {"inForce", isInForce(it, now)},
+             {"nextTrialInSeconds", toSeconds(nextTrialAt(evidence.policy, it) - now)},
+             {"ageSeconds", toSeconds(now - it.decidedAt)},
+             {"lapsesInSeconds", toSeconds(it.expiresAt - now)}});
     std::map<std::string, std::size_t> crashes;
     for (const Crash &crash : evidence.crashes) {
         for (const auto &it : crash.suspects)
--- a/unittests/quarantine/messagestest.cpp
+++ b/unittests/quarantine/messagestest.cpp
@@ -98,3 +98,33 @@
     CHECK(text["suspects"][0]["subject"] == "request:suspect");
     CHECK(text["suspects"][0]["kind"] == "request");
 }
+
+// Guards against a version that cannot read what the one before sends, or sends what that refuses.
+TEST_CASE("the state of trials travels with the number of crashes")
+{
+    const TimePoint now{seconds(1'000)};
+    for (const std::uint32_t failed : {0U, 1U, 7U}) {
+        for (const bool isProven : {false, true}) {
+            SubjectVerdict verdict;
+            verdict.subject = "bad";
+            verdict.verdict.crashes = 5;
+            verdict.verdict.failedTrials = failed;
+            verdict.verdict.isProven = isProven;
+            verdict.verdict.decidedAt = now;
+            const std::string bytes = encodeVerdict(verdict, now, 1'000'000);
+            const auto value = nlohmann::json::from_cbor(bytes);
+            CHECK(value.size() == 4);
+            CHECK(value[2].get<std::uint32_t>() <= 1'000'000);
+            const auto read = orElse(
+                [&] {
+                    return decodeVerdict(bytes, "peer", now, 1'000'000);
+                },
+                [](const Error &) {
+                    return SubjectVerdict();
+                });
+            CHECK(read.verdict.crashes == 5);
+            CHECK(read.verdict.failedTrials == failed);
+            CHECK(read.verdict.isProven == isProven);
+        }
+    }
+}
