--- a/unittests/quarantine/evidencetest.cpp
+++ b/unittests/quarantine/evidencetest.cpp
@@ -172,6 +172,15 @@
     Evidence evidence;
     TimePoint now = crash(evidence, 3, {"bad"});
     judge(evidence, now);
+    // A refusal makes it last as well.
+    evidence.verdicts.at("bad").isProven = true;
+    now += evidence.policy.verdictLifetime - seconds(1);
+    CHECK(admit(evidence, {"bad"}, now) == Admission::Refused);
+    now += evidence.policy.verdictLifetime - seconds(1);
+    judge(evidence, now);
+    REQUIRE(evidence.verdicts.count("bad") == 1);
+    evidence.verdicts.at("bad").isProven = false;
+    CHECK(admit(evidence, {"bad"}, now) == Admission::Trial);
     for (int n = 0; n < 50; ++n) {
         now += evidence.policy.verdictLifetime - seconds(1);
         judge(evidence, now);
