Quarantine test: builds with clang

The time of a test shadowed that of its file, which clang's -Wshadow refuses and g++ does not; found by the build with the address sanitizer. The test uses the file's time. Its checks are as they were.

--- a/unittests/quarantine/messagestest.cpp
+++ b/unittests/quarantine/messagestest.cpp
@@ -102,7 +102,6 @@
 // Guards against a version that cannot read what the one before sends, or sends what that refuses.
 TEST_CASE("the state of trials travels with the number of crashes")
 {
-    const TimePoint now{seconds(1'000)};
     for (const std::uint32_t failed : {0U, 1U, 7U}) {
         for (const bool isProven : {false, true}) {
             SubjectVerdict verdict;
