Soak: a recovery that failed says which requests were not served

The check on recovery names counts only. The report of such a run now lists the requests with their answers and what servers saw of them.

--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -270,12 +270,25 @@
     return [f"{it['id']}: held {it['ended'] - it['at']:.1f} s" for it in held] if len(held) > max(3, len(late) / 2) else []
 
 
+def requests_in_calm(history):
+    """The requests that should be served, since all faults have been over for long enough."""
+    last = max([(it["ended"] or it["at"]) for it in history.faults], default=0)
+    return [it for it in history.requests if it["at"] > last + RECOVERY and it["ended"] and not it["left"]
+            and it["kind"] != "probe" and it["status"] != 429]
+
+
+def is_served(request):
+    return request["status"] == 200 and request["complete"]
+
+
+def unserved_in_calm(history):
+    return [it for it in requests_in_calm(history) if not is_served(it)]
+
+
 def recovered(history, _bounds):
     """Once all faults have been over for long enough, requests are served."""
-    last = max([(it["ended"] or it["at"]) for it in history.faults], default=0)
-    after = [it for it in history.requests if it["at"] > last + RECOVERY and it["ended"] and not it["left"]
-             and it["kind"] != "probe" and it["status"] != 429]
-    served = sum(it["status"] == 200 and it["complete"] for it in after)
+    after = requests_in_calm(history)
+    served = sum(is_served(it) for it in after)
     if len(after) < 20:
         return [f"only {len(after)} requests after the last fault"]
     return [] if served >= 0.95 * len(after) else [f"{served} of {len(after)} served {RECOVERY:.0f} s after the last fault"]
--- a/test/soak/checkstest.py
+++ b/test/soak/checkstest.py
@@ -8,6 +8,7 @@
 
 import checks
 from checks import Bounds, check_all
+from report import summary
 from soak import ended_by_itself
 from soaksite import SoakProcess
 from standins import EVENTS, Answer, History, MalformedAnswer, event, plain_body, question
@@ -259,6 +260,14 @@
             it.update(status=503, complete=True)
         self.assertIn("recovered", self.found())
 
+    def test_the_report_of_a_recovery_that_failed_says_why(self):
+        self.fault("killed", "entry-1", 10, 12)
+        for it in self.history.requests[:60]:
+            it.update(status=503, body=b'{"error":"noUpstream"}')
+        lines = summary(1, self.history, check_all(self.history, BOUNDS)).splitlines()
+        wanted = "unserved: 30.00 to 30.10 s read 127.0.1.1 503 noUpstream app-1 30.01 to 30.05 whole"
+        self.assertIn(wanted, lines)
+
     def test_servers_that_get_no_requests(self):
         self.fault("killed in a rollout", "everyone", 10, 12)
         self.history.ready = ["app-1"]
--- a/test/soak/report.py
+++ b/test/soak/report.py
@@ -1,9 +1,13 @@
 """The report of a soak: what was played, what callers got, the worst gaps, and a plot of it."""
 
 import collections
+import json
 import xml.sax.saxutils
 
+from checks import unserved_in_calm
+
 MAX_SHOWN = 10
+MAX_UNSERVED = 40
 WIDTH, HEIGHT, ROW = 1000, 160, 14
 
 
@@ -13,6 +17,28 @@
     return sorted(((b - a, a) for a, b in zip(times, times[1:])), reverse=True)[:3]
 
 
+def reason(request):
+    """Returns the code of an error answer, empty for any other body."""
+    try:
+        return json.loads(request["body"]).get("error", "")
+    except (ValueError, AttributeError):
+        return ""
+
+
+def unserved_lines(history):
+    """Describes the requests that were not served once all faults were over, with what servers saw of each."""
+    arrivals = collections.defaultdict(list)
+    for it in history.arrivals:
+        ended = f"{it['ended']:.2f}" if it["ended"] else "-"
+        arrivals[it["id"]].append(f"{it['server']} {it['at']:.2f} to {ended} {it['end']}".rstrip())
+    lines = []
+    for it in unserved_in_calm(history)[:MAX_UNSERVED]:
+        words = [f"unserved: {it['at']:.2f} to {it['ended']:.2f} s", it["kind"], it["entry"] or "-", str(it["status"] or it["end"]),
+                 reason(it), "; ".join(arrivals[it["id"]]) or "at no server"]
+        lines.append(" ".join(word for word in words if word))
+    return lines
+
+
 def summary(seed, history, breaches):
     ends = collections.Counter(f"{it['kind']} {it['status'] or it['end']}" for it in history.requests)
     lines = [f"seed {seed}: {len(history.requests)} requests, {len(history.arrivals)} arrivals, {len(history.changes)} changes, "
@@ -22,6 +48,8 @@
         lines.append(f"  {it['at']:7.1f} to {ended:>6} s  {it['kind']}  {', '.join(it['touches'])}")
     lines.append("what callers got: " + ", ".join(f"{name} {n}" for name, n in sorted(ends.items())))
     lines.append("longest gaps between answers: " + ", ".join(f"{length:.2f} s from {at:.1f} s" for length, at in gaps(history)))
+    if breaches.get("recovered"):
+        lines += unserved_lines(history)
     for name, found in breaches.items():
         for it in found[:MAX_SHOWN]:
             lines.append(f"broken: {name}: {it}")
