Soak: the proxy asks the kernel for one connection, not for all

Cause: to know whose connection it accepted, the proxy of the soak read /proc/net/tcp, the connections of the whole machine with those that wait for their end, and it stands still meanwhile. Other tests beside it open thousands.

Change: sock_diag(7) tells the inode of one connection; the list is read only where the kernel does not offer that.

--- a/test/soak/checkstest.py
+++ b/test/soak/checkstest.py
@@ -1,12 +1,15 @@
 """Each check of the soak is seen to find its breach, and to pass a history without it."""
 
 import http.client
+import os
 import signal
 import socket
 import subprocess
 import unittest
+import unittest.mock
 
 import checks
+import proxy
 from checks import Bounds, check_all
 from report import summary
 from soak import ended_by_itself
@@ -54,6 +57,41 @@
         self.assertIsNone(ended_by_itself(it))
 
 
+class Owners(unittest.TestCase):
+    """Whose connection the proxy accepted, so that a fault touches the right process."""
+
+    def connected(self):
+        listener = socket.create_server(("127.0.0.1", 0))
+        near = socket.create_connection(listener.getsockname())
+        far, _ = listener.accept()
+        for it in (listener, near, far):
+            self.addCleanup(it.close)
+        return near, far
+
+    def test_both_ways_to_find_the_owner_agree(self):
+        _, far = self.connected()
+        ends = far.getpeername(), far.getsockname()
+        try:
+            self.assertEqual(proxy.diagnosed_inode(*ends), int(proxy.listed_inode(*ends)))
+        except OSError as error:
+            self.skipTest(f"this kernel does not tell of one connection: {error}")
+
+    def test_the_proxy_does_not_stand_still_for_the_connections_of_others(self):
+        # Many connections of other programs made each new one through the proxy take 0.1 s, one after the other.
+        _, far = self.connected()
+        try:
+            proxy.diagnosed_inode(far.getpeername(), far.getsockname())
+        except OSError as error:
+            self.skipTest(f"this kernel does not tell of one connection: {error}")
+        with unittest.mock.patch("builtins.open", side_effect=AssertionError("reads a list of all connections")):
+            self.assertEqual(proxy.owner_of(far, {"other": 1, "own": os.getpid()}), "own")
+
+    def test_a_closed_connection_has_no_owner(self):
+        near, far = self.connected()
+        near.close()
+        self.assertIsNone(proxy.owner_of(far, {"own": os.getpid()}))
+
+
 class Checks(unittest.TestCase):
 
     def setUp(self):
--- a/test/soak/proxy.py
+++ b/test/soak/proxy.py
@@ -4,6 +4,7 @@
 import os
 import selectors
 import socket
+import struct
 import threading
 import time
 
@@ -12,6 +13,9 @@
 CHUNK = 1 << 16
 # Time after which rules are looked at again when no bytes move, in seconds.
 TICK = 0.02
+# Of the kernel's interface sock_diag(7).
+NETLINK_SOCK_DIAG, SOCK_DIAG_BY_FAMILY, NLM_F_REQUEST = 4, 20, 1
+NETLINK_HEADER, INODE_OFFSET, ANY = 16, 68, 0xFFFFFFFF
 
 
 class Rule:
@@ -45,21 +49,47 @@
         self.closed = False
 
 
+def diagnosed_inode(local, remote):
+    """Asks the kernel for the inode of one connection, by its ends as pairs of host and port.
+
+    Throws OSError if the kernel does not tell, or knows no such connection."""
+    ends = struct.pack("!HH4s12x4s12x", local[1], remote[1], socket.inet_aton(local[0]), socket.inet_aton(remote[0]))
+    # Any interface and any cookie, all states.
+    request = struct.pack("=BBBBI", socket.AF_INET, socket.IPPROTO_TCP, 0, 0, ANY) + ends + struct.pack("=III", 0, ANY, ANY)
+    header = struct.pack("=IHHII", NETLINK_HEADER + len(request), SOCK_DIAG_BY_FAMILY, NLM_F_REQUEST, 1, 0)
+    with socket.socket(socket.AF_NETLINK, socket.SOCK_DGRAM, NETLINK_SOCK_DIAG) as kernel:
+        kernel.settimeout(1)
+        kernel.send(header + request)
+        answer = kernel.recv(CHUNK)
+    if struct.unpack_from("=H", answer, 4)[0] != SOCK_DIAG_BY_FAMILY:
+        raise OSError("the kernel knows no such connection")
+    return struct.unpack_from("=I", answer, NETLINK_HEADER + INODE_OFFSET)[0]
+
+
+def listed_inode(local, remote):
+    """Looks for the inode of one connection in the list of all of the machine; None if it has none."""
+    wanted = ["%s:%04X" % (socket.inet_aton(host)[::-1].hex().upper(), port) for host, port in (local, remote)]
+    with open("/proc/net/tcp", encoding="ascii") as table:
+        return next((fields[9] for fields in map(str.split, table) if fields[1:3] == wanted), None)
+
+
 def owner_of(near, pids):
     """Returns the name of the process whose connection was accepted, or None. pids: name to process id."""
     try:
-        host, port = near.getpeername()
+        local, remote = near.getpeername(), near.getsockname()
     except OSError:
         # Reset before it was accepted.
         return None
-    wanted = "%s:%04X" % (socket.inet_aton(host)[::-1].hex().upper(), port)
-    with open("/proc/net/tcp", encoding="ascii") as table:
-        inodes = {fields[9] for fields in map(str.split, table) if fields[1] == wanted}
-    links = {"socket:[%s]" % it for it in inodes}
+    try:
+        # The list of all grows with what other programs on the machine do, and the proxy stands still while it is read.
+        inode = diagnosed_inode(local, remote)
+    except OSError:
+        inode = listed_inode(local, remote)
+    link = f"socket:[{inode}]"
     for name, pid in pids.items():
         try:
             for fd in os.listdir(f"/proc/{pid}/fd"):
-                if os.readlink(f"/proc/{pid}/fd/{fd}") in links:
+                if os.readlink(f"/proc/{pid}/fd/{fd}") == link:
                     return name
         except OSError:
             # The process ended meanwhile, or closed the descriptor.
