System tests: the pause of a server begins after the set-up's requests

Seen: system.platform_trouble, red in whole checks since it was listed: after two servers asked for a pause, each had got one request.

Cause: the test waits until both servers have refused once, and counted the requests of its own set-up, which both had often got. Then nobody had asked for a pause yet when the count began, and the first request went to both.

Change: what the servers saw in the set-up is cleared before the wait. What the test demands is as it was.

--- a/test/system/platform_trouble.py
+++ b/test/system/platform_trouble.py
@@ -244,6 +244,8 @@
             return True
         for it in self.app:
             it.trick = refuse
+            # Requests of the set-up say nothing about a pause.
+            it.seen.clear()
         wait_for(lambda: all(it.seen for it in self.app) or self.it.request(1, "/read/x")[0] != 503, 5, "a server is not used")
         for it in self.app:
             it.seen.clear()
