Soak: the calm at the end begins after the last crash, not after the last drawn fault

Change: a soak goes on until 27 s after the last fault of any kind, 60 s at most. Checks, bounds and seeds are as they were.

--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -270,10 +270,15 @@
     return [f"{it['id']}: held {it['ended'] - it['at']:.1f} s" for it in held] if len(held) > max(3, len(late) / 2) else []
 
 
+def calm_since(history):
+    """When the last fault was over, the crashes under callers' requests among them."""
+    return max([(it["ended"] or it["at"]) for it in history.faults], default=0)
+
+
 def requests_in_calm(history):
     """The requests that should be served, since all faults have been over for long enough."""
-    last = max([(it["ended"] or it["at"]) for it in history.faults], default=0)
-    return [it for it in history.requests if it["at"] > last + RECOVERY and it["ended"] and not it["left"]
+    begin = calm_since(history) + RECOVERY
+    return [it for it in history.requests if it["at"] > begin and it["ended"] and not it["left"]
             and it["kind"] != "probe" and it["status"] != 429]
 
 
@@ -296,8 +301,8 @@
 
 def all_servers_used(history, _bounds):
     """Once all faults have been over for long enough, each server that is ready gets requests."""
-    last = max([(it["ended"] or it["at"]) for it in history.faults], default=0)
-    used = {it["server"] for it in history.arrivals if it["at"] > last + RECOVERY and it["end"] != "misdirected"}
+    begin = calm_since(history) + RECOVERY
+    used = {it["server"] for it in history.arrivals if it["at"] > begin and it["end"] != "misdirected"}
     return [f"{it} got no request from {RECOVERY:.0f} s after the last fault on" for it in history.ready if it not in used]
 
 
--- a/test/soak/checkstest.py
+++ b/test/soak/checkstest.py
@@ -12,7 +12,7 @@
 import proxy
 from checks import Bounds, check_all
 from report import summary
-from soak import ended_by_itself
+from soak import CALM, ended_by_itself, wait_out
 from soaksite import SoakProcess
 from standins import EVENTS, Answer, History, MalformedAnswer, event, plain_body, question
 
@@ -57,6 +57,36 @@
         self.assertIsNone(ended_by_itself(it))
 
 
+class Calm(unittest.TestCase):
+    """How long a soak goes on after its last fault."""
+
+    def setUp(self):
+        self.history = History()
+        self.time = 30.0
+        self.history.now = lambda: self.time
+        self.crashes = []
+
+    def crash(self, at):
+        self.history.add(self.history.faults, kind="server crashed", touches=["servers"], at=at, ended=at + 1.5, planned=False)
+
+    def sleep(self, seconds):
+        self.time += seconds
+        while self.crashes and self.crashes[0] <= self.time:
+            self.crash(self.crashes.pop(0))
+
+    def test_a_crash_after_the_faults_does_not_cut_the_calm_short(self):
+        # A trial of a crashing request left one second in which each server had to get a request.
+        self.crash(28.0)
+        self.crashes = [39.3]
+        wait_out(self.history, self.sleep)
+        self.assertGreaterEqual(self.time, 40.8 + checks.RECOVERY + CALM)
+
+    def test_crashes_without_an_end_do_not_hold_a_soak(self):
+        self.crashes = [31.0 + n for n in range(200)]
+        wait_out(self.history, self.sleep)
+        self.assertLess(self.time, 91)
+
+
 class Owners(unittest.TestCase):
     """Whose connection the proxy accepted, so that a fault touches the right process."""
 
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -15,12 +15,16 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "system"))
 from control_common import wait_for  # noqa: E402
-from checks import RECOVERY, Bounds, as_json, check_all  # noqa: E402
+from checks import RECOVERY, Bounds, as_json, calm_since, check_all  # noqa: E402
 from faults import Operator, Player  # noqa: E402
 from report import plot, summary  # noqa: E402
 from soaksite import DRAIN_TIME, IN_FORCE_TIME, LIMIT_SLACK, LIMITS, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW, SoakSite  # noqa: E402
 from standins import Caller, Crasher, History  # noqa: E402
 
+# Long enough for the longest time for which entries leave out a server that failed again and again, in seconds.
+CALM = 12
+# Enough for two trials of a request that crashes servers.
+MAX_WAIT = 60
 BOUNDS = Bounds(DRAIN_TIME, IN_FORCE_TIME, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW, LIMITS, LIMIT_SLACK)
 
 
@@ -63,6 +67,16 @@
         record["ended"] = self.history.now()
 
 
+def wait_out(history, sleep):
+    """Waits until everything has been calm for as long as the checks need. A request that crashes servers may be
+    tried again after the last fault that was drawn; one that goes on crashing them ends the wait all the same.
+
+    sleep: waits for a number of seconds."""
+    end = history.now() + MAX_WAIT
+    while history.now() < min(end, calm_since(history) + RECOVERY + CALM):
+        sleep(0.2)
+
+
 def soak(seed, seconds, callers):
     """Plays one soak; returns its history."""
     history = History()
@@ -84,8 +98,7 @@
         for it in threads:
             it.start()
         Player(seed, site, history, operator).play(seconds)
-        # Long enough for the longest time for which entries leave out a server that failed again and again.
-        time.sleep(RECOVERY + 12)
+        wait_out(history, time.sleep)
         history.ready = [it.name for it in site.servers if it.state == "ready"]
         stop.set()
         for it in threads:
