Feed: an entry finds a sound control member in a time that does not grow with the dead ones

Cause: an entry tried the addresses that it knew one after the other, a second each, by an index into a list that changes. The first seeds stay among them for good, so that it passed three dead addresses before a living member.

Change: members are tried side by side (one, two more after 0.05 of inForceTime, then all), probed, and followed only once a proof is young or was renewed. The followed member keeps its link meanwhile and is preferred if it recovers. The order is each entry's own and knows who failed lately; addresses that only the settings name come last. The client's links to members and its times have files of their own.

--- a/include/kumquathaven/feed/follower.h
+++ b/include/kumquathaven/feed/follower.h
@@ -41,7 +41,8 @@
     std::vector<Delivery> deliveries;
     /// Children whose links are to be closed.
     std::vector<SubscriberId> refused;
-    /// Close the link to control and open one to the next member.
+    /// Search for another member: the followed one gives no newer proofs. Its link stays open until
+    /// another member is found.
     bool changeMember = false;
     /// Open a link to a relay as the next one.
     std::optional<RelayAddress> connectNextRelay;
@@ -56,7 +57,8 @@
     Follower(settings::FeedRelays relays, const catalogue::Instance &self, std::uint64_t seed,
              SubscriberTimes times = {});
 
-    /// Handles the opening of a link to the peer named \p peer.
+    /// Handles the opening of a link to the peer named \p peer. A link to control replaces the
+    /// former one, if there is one.
     FollowerEffects opened(Uplink uplink, const std::string &peer, TimePoint now);
     /// Handles the closing of a link, or a failure to open it.
     FollowerEffects closed(Uplink uplink, TimePoint now);
@@ -81,8 +83,7 @@
     std::vector<SubscriberId> heldBack() const { return m_relaying.heldBack(); }
     std::vector<Delivery> resume(SubscriberId child, TimePoint now);
 
-    /// Handles timeouts and periodic work. To be called every few tens of milliseconds. The first
-    /// call requests a link to the first member.
+    /// Handles timeouts and periodic work. To be called every few tens of milliseconds.
     FollowerEffects tick(TimePoint now);
 
     /// Changes what the instance announces about itself.
@@ -109,7 +110,7 @@
 private:
     void applyEffects(const SubscriberEffects &changes, FollowerEffects &effects, TimePoint now);
     void feedFromControl(FollowerEffects &effects, TimePoint now);
-    void changeMember(FollowerEffects &effects, TimePoint now);
+    void leaveControl();
     void adopt(FollowerEffects &effects, TimePoint now);
     void handleRedirect(const Redirect &redirect, FollowerEffects &effects, TimePoint now);
     void tryFirstRelay(FollowerEffects &effects, TimePoint now);
@@ -132,8 +133,6 @@
     bool m_isControlQuiet = false;
     std::uint64_t m_intervalEpoch = 0;
     TimePoint m_controlUsedUntil;
-    /// When to connect to another member if the link to control has not opened.
-    TimePoint m_controlDeadline;
     /// Whether the subscriber has a source at present.
     bool m_hasSource = false;
     TimePoint m_feedFromControlAt;
--- a/lib/feed/client.cpp
+++ b/lib/feed/client.cpp
@@ -1,20 +1,16 @@
 #include "kumquathaven/feed/client.h"
 
-#include "kumquathaven/base/hash.h"
+#include "memberlinks.h"
+
 #include "kumquathaven/base/ring.h"
-#include "kumquathaven/base/walltime.h"
 #include "kumquathaven/feed/commandframe.h"
+#include "kumquathaven/feed/feedtimes.h"
 #include "kumquathaven/feed/follower.h"
-#include "kumquathaven/feed/memberaddresses.h"
-#include "kumquathaven/feed/place.h"
 #include "kumquathaven/telemetry/log.h"
 
 #include <algorithm>
 #include <atomic>
-#include <cassert>
-#include <cmath>
 #include <mutex>
-#include <random>
 #include <thread>
 #include <utility>
 
@@ -25,6 +21,8 @@
 constexpr std::size_t ringCapacity = 8192;
 constexpr std::size_t maxRingBytes = std::size_t{8} * 1024 * 1024;
 constexpr Duration tickInterval = std::chrono::milliseconds(100);
+/// Interval of ticks while a control member is searched for.
+constexpr Duration searchTickInterval = std::chrono::milliseconds(25);
 /// Time allowed for the departure message to leave the process before the links are closed.
 constexpr Duration departureDelay = std::chrono::milliseconds(100);
 
@@ -39,59 +37,8 @@
     wire::Frame frame;
 };
 
-/// The member's timeout as a share of the platform's inForceTime. An accepted change must be in
-/// force within that time even if the connected member is cut off, and the time also has to cover
-/// the member's own step-down and the switch to another member.
-constexpr double timeoutShare = 0.35;
-
-SubscriberTimes subscriberTimes(const settings::Settings &settings)
-{
-    SubscriberTimes times;
-    if (!settings.platform)
-        return times;
-    times.memberTimeout = std::min(
-        times.memberTimeout,
-        std::chrono::duration_cast<Duration>(settings.platform->inForceTime * timeoutShare));
-    times.proofInterval = std::min(times.proofInterval, times.memberTimeout / 3);
-    return times;
-}
-
-/// Returns the capacity of this instance relative to the other entries.
-std::uint32_t weightOf(const settings::Settings &settings)
-{
-    // The weight of a whole processor, fine enough for entries with a few hundredths of one.
-    constexpr double processorWeight = 1'000;
-    constexpr double maxWeight = 1e6;
-    if (!settings.platform || settings.platform->processorShare <= 0)
-        return settings.weight;
-    const double weight = settings.platform->processorShare * processorWeight;
-    return static_cast<std::uint32_t>(std::clamp(std::round(weight), 1.0, maxWeight));
-}
-
 } // namespace
 
-catalogue::Instance configuredInstance(const settings::Settings &settings)
-{
-    catalogue::Instance self;
-    self.name = settings.instance;
-    self.region = settings.region;
-    self.failureDomain = settings.failureDomain;
-    self.callers = settings::toString(settings::reachableCallers(settings));
-    self.link = settings::toString(settings::reachableLink(settings));
-    self.weight = weightOf(settings);
-    return self;
-}
-
-catalogue::Instance startingInstance(const settings::Settings &settings)
-{
-    std::random_device device;
-    catalogue::Instance self = configuredInstance(settings);
-    self.incarnation = (static_cast<std::uint64_t>(device()) << 32U) | device();
-    self.since = wallMilliseconds();
-    self.place = placeOf(localNetwork(), settings.link);
-    return self;
-}
-
 class FeedClient::Impl
 {
 public:
@@ -113,27 +60,25 @@
     void handleUplink(Uplink uplink, const Event &event, TimePoint now);
     void handleChild(const Event &event, TimePoint now);
     std::optional<Message> read(const Event &event);
-    void applyEffects(const FollowerEffects &effects);
+    void applyEffects(const FollowerEffects &effects, TimePoint now);
     void changeLinks(const FollowerEffects &effects);
     void deliver(const std::vector<Delivery> &deliveries);
     void resumeChildren(TimePoint now);
-    void followMembers(const catalogue::Catalogue &catalogue);
+    void handleMember(const Event &event, TimePoint now);
     void logDeclaration(const catalogue::Declaration &declaration);
-    void nextMember();
+    void follow(const std::optional<FollowedMember> &member, TimePoint now);
+    void leaveMember();
     void drop(wire::LinkId &link);
 
-    std::vector<settings::Address> m_members;
-    /// The members of the settings.
-    std::vector<settings::Address> m_configuredMembers;
     wire::Hub &m_hub;
     catalogue::View &m_view;
+    MemberLinks m_members;
     Follower m_follower;
     /// Version of the newest declaration received.
     std::uint64_t m_declarationVersion = 0;
     BoundedRing<Event> m_ring{ringCapacity, maxRingBytes, [](const Event &event) {
                                   return event.frame.body.size();
                               }};
-    std::size_t m_member;
     std::function<void(std::uint64_t, const std::string &)> m_ledgerAnswerHandler;
     /// The link to control, read by senders of commands on any thread, and whether a command was
     /// sent over it.
@@ -153,16 +98,9 @@
                        const catalogue::Instance &self)
     : m_hub(hub)
     , m_view(view)
+    , m_members(settings, hub, self)
     , m_follower(settings.feedRelays, self, self.incarnation, subscriberTimes(settings))
-    , m_member(stableHash(self.name))
 {
-    for (const settings::Member &it : settings.members)
-        m_members.push_back(it.link);
-    if (settings.platform) {
-        for (const settings::Address &it : settings.platform->seeds)
-            m_members.push_back(settings::linkOfSeed(settings, it));
-    }
-    m_configuredMembers = m_members;
     const auto pushKind = [this](Event::Kind kind, const wire::Peer &peer) {
         push({kind, peer.link, peer.name, peer.outgoing, {}});
     };
@@ -241,19 +179,22 @@
 
 void FeedClient::Impl::run(const std::function<bool()> &shouldStop)
 {
+    follow(m_members.search(monotonicNow()), monotonicNow());
     while (!shouldStop()) {
-        const std::optional<Event> event = m_ring.pop(tickInterval);
+        const std::optional<Event> event =
+            m_ring.pop(m_members.isSearching() ? searchTickInterval : tickInterval);
         const TimePoint now = monotonicNow();
         applyAnnouncement();
         if (m_isControlUsed.exchange(false))
             m_follower.recordControlUse(now);
         if (event)
             handle(*event, now);
-        applyEffects(m_follower.tick(now));
+        applyEffects(m_follower.tick(now), now);
+        follow(m_members.review(now), now);
         resumeChildren(now);
         updateStatus();
     }
-    applyEffects(m_follower.leave());
+    applyEffects(m_follower.leave(), monotonicNow());
     std::this_thread::sleep_for(departureDelay);
     m_hub.disconnect(m_control);
     drop(m_relay);
@@ -287,12 +228,12 @@
 {
     if (event.kind == Event::Kind::Report) {
         if (const std::optional<Message> report = read(event))
-            applyEffects(m_follower.report(*report, now));
+            applyEffects(m_follower.report(*report, now), now);
         return;
     }
     // Links of other duties share the hub, and frames of a former source may still be queued.
-    if (event.link == m_control)
-        handleUplink(Uplink::Control, event, now);
+    if (m_members.contains(event.link))
+        handleMember(event, now);
     else if (event.link == m_relay)
         handleUplink(Uplink::Relay, event, now);
     else if (event.link == m_nextRelay)
@@ -301,21 +242,35 @@
         handleChild(event, now);
 }
 
-void FeedClient::Impl::handleUplink(Uplink uplink, const Event &event, TimePoint now)
+/// Handles an event of a link to a control member, which is followed or takes part in the search.
+void FeedClient::Impl::handleMember(const Event &event, TimePoint now)
 {
     if (event.kind == Event::Kind::Opened) {
-        if (uplink == Uplink::Control) {
-            const std::lock_guard<std::mutex> lock(m_mutex);
-            m_status.member = event.peer;
-        }
-        applyEffects(m_follower.opened(uplink, event.peer, now));
+        follow(m_members.opened(event.link, event.peer, now), now);
     } else if (event.kind == Event::Kind::Closed) {
-        applyEffects(m_follower.closed(uplink, now));
+        if (event.link == m_control) {
+            leaveMember();
+            applyEffects(m_follower.closed(Uplink::Control, now), now);
+        }
+        follow(m_members.closed(event.link, now), now);
     } else if (const std::optional<Message> message = read(event)) {
-        applyEffects(m_follower.receive(uplink, *message, now));
+        if (event.link == m_control)
+            applyEffects(m_follower.receive(Uplink::Control, *message, now), now);
+        if (const auto *proof = std::get_if<Proof>(&*message))
+            follow(m_members.receive(event.link, *proof, now), now);
     }
 }
 
+void FeedClient::Impl::handleUplink(Uplink uplink, const Event &event, TimePoint now)
+{
+    if (event.kind == Event::Kind::Opened)
+        applyEffects(m_follower.opened(uplink, event.peer, now), now);
+    else if (event.kind == Event::Kind::Closed)
+        applyEffects(m_follower.closed(uplink, now), now);
+    else if (const std::optional<Message> message = read(event))
+        applyEffects(m_follower.receive(uplink, *message, now), now);
+}
+
 void FeedClient::Impl::handleChild(const Event &event, TimePoint now)
 {
     if (event.kind == Event::Kind::Closed) {
@@ -325,7 +280,7 @@
         const auto *request = message ? std::get_if<ProofRequest>(&*message) : nullptr;
         // A child's proof request is its heartbeat, so it must name the child itself.
         if (message && (!request || request->instance == event.peer))
-            applyEffects(m_follower.childMessage(event.link, *message, now));
+            applyEffects(m_follower.childMessage(event.link, *message, now), now);
         else
             m_hub.disconnect(event.link);
     }
@@ -344,13 +299,15 @@
         });
 }
 
-void FeedClient::Impl::applyEffects(const FollowerEffects &effects)
+void FeedClient::Impl::applyEffects(const FollowerEffects &effects, TimePoint now)
 {
     changeLinks(effects);
     if (effects.quietControl)
         m_hub.setQuiet(m_control, *effects.quietControl);
     if (effects.snapshot) {
-        followMembers(*effects.snapshot->catalogue);
+        const auto &listed = effects.snapshot->catalogue->controlLinks;
+        if (!listed.empty())
+            m_members.setListed({listed.begin(), listed.end()});
         logDeclaration(effects.snapshot->catalogue->declaration);
         m_view.offer(*effects.snapshot);
     }
@@ -368,7 +325,7 @@
     for (const SubscriberId it : effects.refused)
         m_hub.disconnect(it);
     if (effects.changeMember)
-        nextMember();
+        follow(m_members.search(now), now);
     if (effects.connectNextRelay)
         m_nextRelay = m_hub.connect(settings::parseAddress(effects.connectNextRelay->link));
 }
@@ -425,28 +382,25 @@
                         {"source", m_follower.relay().empty() ? "control" : m_follower.relay()}});
 }
 
-/// Adopts the control members that the control state lists.
-void FeedClient::Impl::followMembers(const catalogue::Catalogue &catalogue)
+/// Follows another member, if there is one. The search has closed the link to the former one.
+void FeedClient::Impl::follow(const std::optional<FollowedMember> &member, TimePoint now)
 {
-    if (!catalogue.controlLinks.empty())
-        m_members = memberAddresses({catalogue.controlLinks.begin(), catalogue.controlLinks.end()},
-                                    m_configuredMembers);
+    if (!member)
+        return;
+    m_control = member->link;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_status.member = member->peer;
+        ++m_status.memberChanges;
+    }
+    applyEffects(m_follower.opened(Uplink::Control, member->peer, now), now);
 }
 
-void FeedClient::Impl::nextMember()
-{
-    if (m_control != 0)
-        m_hub.disconnect(m_control);
-    ++m_member;
-    assert(!m_members.empty() && "there is at least one control member");
-    const settings::Address next = m_members[m_member % m_members.size()];
-    m_control = m_hub.connect(next);
-    telemetry::logLine(telemetry::LogLevel::Info, "feed", "connecting to another control member",
-                       {{"member", settings::toString(next)},
-                        {"position", std::to_string(m_follower.position())}});
+void FeedClient::Impl::leaveMember()
+{
+    m_control = 0;
     const std::lock_guard<std::mutex> lock(m_mutex);
     m_status.member.clear();
-    ++m_status.memberChanges;
 }
 
 void FeedClient::Impl::drop(wire::LinkId &link)
--- a/lib/feed/follower.cpp
+++ b/lib/feed/follower.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// Timeout for opening a link to a member or a relay.
+/// Timeout for opening a link to a relay.
 constexpr Duration connectTimeout = std::chrono::seconds(1);
 /// The children of a failed relay return to control spread over this time, to avoid a burst of
 /// subscriptions.
@@ -38,6 +38,8 @@
 {
     FollowerEffects effects;
     if (uplink == Uplink::Control) {
+        // The member may take the place of one whose link is still open.
+        leaveControl();
         m_isControlOpen = true;
         m_isControlQuiet = false;
         if (!m_relay.empty())
@@ -58,7 +60,7 @@
 {
     FollowerEffects effects;
     if (uplink == Uplink::Control)
-        changeMember(effects, now);
+        leaveControl();
     else if (uplink == Uplink::NextRelay)
         giveUpNextRelay(effects, now);
     else
@@ -135,8 +137,6 @@
 FollowerEffects Follower::tick(TimePoint now)
 {
     FollowerEffects effects;
-    if (!m_isControlOpen && now > m_controlDeadline)
-        changeMember(effects, now);
     feedFromControl(effects, now);
     applyEffects(m_subscriber.tick(now), effects, now);
     setWatchInterval(effects, now);
@@ -181,7 +181,7 @@
     if (!changes.changeMember)
         return;
     if (m_relay.empty())
-        changeMember(effects, now);
+        effects.changeMember = true;
     else
         relayFailed(effects, now);
 }
@@ -196,12 +196,10 @@
     applyEffects(m_subscriber.connected(now), effects, now);
 }
 
-void Follower::changeMember(FollowerEffects &effects, TimePoint now)
+void Follower::leaveControl()
 {
     m_isControlOpen = false;
-    m_controlDeadline = now + connectTimeout;
     m_watch.end();
-    effects.changeMember = true;
     if (!m_relay.empty())
         return;
     m_subscriber.disconnected();
@@ -275,8 +273,11 @@
     effects.dropRelay = true;
     m_relay.clear();
     m_watch.end();
-    if (m_isControlOpen && m_isControlQuiet)
+    if (m_isControlOpen && m_isControlQuiet) {
         effects.quietControl = m_isControlQuiet = false;
+        // The member of a quiet link may have failed unnoticed.
+        effects.changeMember = true;
+    }
     m_subscriber.disconnected();
     m_hasSource = false;
     m_feedFromControlAt = feedFromControlAt;
@@ -290,7 +291,7 @@
         effects.messages.push_back({Uplink::Control, *watchEffects.request});
     applyEffects(m_subscriber.applyProof(m_watch.provenAt()), effects, now);
     if (watchEffects.changeMember)
-        changeMember(effects, now);
+        effects.changeMember = true;
     if (watchEffects.relayLags)
         relayFailed(effects, now);
 }
--- a/unittests/feed/relayfleet.cpp
+++ b/unittests/feed/relayfleet.cpp
@@ -23,6 +23,7 @@
         else
             close(it);
     }
+    connect(n, Uplink::Control, std::nullopt, "control");
 }
 
 void Fleet::send(const Delivery &delivery)
