Weights: the age of a version counts from its acceptance at every process

Cause: an entry counted each version from the moment at which it learned of it, since the state has no time. The same held for entries that were frozen or cut off, and for members and relays that feed others.

Change: members record when they applied a version, exchange ages with each proof, and send them, as relays do, before each state and proof; the earliest time counts, and what nobody knows counts as old. All versions of a model travel. A new log line tells what an entry knows. Entries and members of the version before drop the message and count from arrival.

The unit tests that gave the time of a version to applyCatalogue() give it to the record of times now; their checks are the same.

--- a/include/kumquathaven/catalogue/view.h
+++ b/include/kumquathaven/catalogue/view.h
@@ -6,6 +6,7 @@
 #include "kumquathaven/base/time.h"
 #include "kumquathaven/catalogue/catalogue.h"
 #include "kumquathaven/catalogue/instances.h"
+#include "kumquathaven/catalogue/weightstimes.h"
 
 #include <algorithm>
 #include <memory>
@@ -18,6 +19,8 @@
 {
     std::shared_ptr<const Catalogue> catalogue = std::make_shared<const Catalogue>();
     std::shared_ptr<const Instances> instances = std::make_shared<const Instances>();
+    /// When the versions of models' weights were set.
+    std::shared_ptr<const WeightsTimes> weightsTimes = std::make_shared<const WeightsTimes>();
     /// The last time at which a quorum confirmed that no newer revision was accepted. The default
     /// value means that there is no proof yet.
     TimePoint provenAt{};
--- a/include/kumquathaven/feed/messages.h
+++ b/include/kumquathaven/feed/messages.h
@@ -9,6 +9,7 @@
 #include "kumquathaven/catalogue/change.h"
 #include "kumquathaven/catalogue/state.h"
 #include "kumquathaven/catalogue/textpatch.h"
+#include "kumquathaven/catalogue/weightstimes.h"
 #include "kumquathaven/release/release.h"
 #include "kumquathaven/wire/frame.h"
 
@@ -152,8 +153,16 @@
     std::vector<RelayAddress> relays;
 };
 
+/// How long ago the versions of models' weights were set. Sent before states and proofs while a
+/// version was set lately. A receiver of the version before drops it and counts from the arrival of
+/// a version.
+struct WeightsAges
+{
+    std::vector<catalogue::WeightsAge> ages;
+};
+
 using Message = std::variant<Subscribe, ProofRequest, Announce, Leave, StateAt, ChangeAt, Proof,
-                             Unsubscribe, Redirect, RolloutReport, DeclarationPatchAt>;
+                             Unsubscribe, Redirect, RolloutReport, DeclarationPatchAt, WeightsAges>;
 
 /// Returns the frame that carries a message.
 wire::Frame toFrame(const Message &message);
--- a/include/kumquathaven/feed/subscriber.h
+++ b/include/kumquathaven/feed/subscriber.h
@@ -28,6 +28,9 @@
     /// Timeout after which a relay that answers without a newer proof is abandoned. It is longer
     /// than that of a member, so that the relay can find another source itself.
     Duration relayTimeout = std::chrono::milliseconds(2500);
+    /// Weights versions are sent on with their ages while one of the model was set within this
+    /// time. Longer than replaced weights may be used.
+    Duration recentWeights = std::chrono::seconds(60);
 };
 
 /// Actions that the subscriber requests from its owner.
@@ -84,6 +87,11 @@
     /// Returns the time of the newest proof for the held position. The default value means that
     /// there is none.
     TimePoint provenAt() const { return std::max(m_proofs.provenAt(), m_controlProvenAt); }
+    /// Returns the ages of the weights versions of models of which one was set lately.
+    std::vector<catalogue::WeightsAge> recentWeights(TimePoint now) const
+    {
+        return catalogue::recentAges(*m_snapshot.weightsTimes, m_times.recentWeights, now);
+    }
     const catalogue::Instances &instances() const { return *m_snapshot.instances; }
     const catalogue::Declaration &declaration() const { return m_snapshot.catalogue->declaration; }
     /// Returns the complete state as it is held, for a relay's children.
@@ -108,6 +116,9 @@
     void receiveChange(const std::optional<ChangeAt> &change, SubscriberEffects &effects,
                        TimePoint now);
     void handleMessage(const Proof &message, TimePoint now);
+    void handleMessage(const WeightsAges &message, TimePoint now);
+    void recordWeights(const catalogue::SetWeightsVersion &body, std::uint64_t replaced,
+                       TimePoint now);
     void recordListing();
     std::uint64_t listedIncarnation() const;
     bool isListedAsAnnounced() const;
--- a/lib/control/controlrole.cpp
+++ b/lib/control/controlrole.cpp
@@ -158,6 +158,9 @@
     FeedSettings feedSettings;
     feedSettings.maxListAge = settings.platformList.maxAge;
     feedSettings.publishesMembers = settings.platform.has_value();
+    if (settings.platform)
+        feedSettings.recentWeights =
+            std::max(feedSettings.recentWeights, 2 * settings.platform->weightsTime);
     feed = std::make_unique<FeedDuty>(hub, *logs.front(), machine, send, feedSettings);
     relay = std::make_unique<LedgerRelay>(hub, *logs.back(), send, randomIdentity());
     ledgerDuty = std::make_unique<LedgerDuty>(*logs.back(), machine, *feed, randomIdentity());
--- a/lib/control/feedduty.cpp
+++ b/lib/control/feedduty.cpp
@@ -59,6 +59,7 @@
     , m_publishesMembers(settings.publishesMembers)
     , m_instanceLease(settings.instanceLease)
     , m_ring(ringCapacity, maxRingBytes, bytesOf)
+    , m_weights(settings.recentWeights)
 { }
 
 std::size_t FeedDuty::bytesOf(const Event &event)
@@ -145,6 +146,7 @@
 {
     const PublishedState state = m_machine.published();
     m_publisher.restart(state.position, state.catalogue->declaration);
+    m_weights.restore(*state.catalogue);
     for (const wire::LinkId it : m_links) {
         m_publisher.remove(it);
         m_hub.disconnect(it);
@@ -152,10 +154,12 @@
     m_links.clear();
 }
 
-void FeedDuty::handle(const Changed &event, TimePoint)
+void FeedDuty::handle(const Changed &event, TimePoint now)
 {
     if (event.change.position <= m_publisher.position())
         return;
+    // Before its first proof a member may apply what was accepted long ago.
+    m_weights.apply(event.change.change, m_provenAt == TimePoint{} ? TimePoint{} : now);
     const std::vector<feed::Delivery> deliveries = m_publisher.publish(event.change);
     deliver(deliveries);
     logDeclaration(event.change, deliveries);
@@ -245,6 +249,7 @@
         }
     }
     m_links.insert(link);
+    deliverWeights(link, now);
     deliver(m_publisher.subscribe(link, subscribe, [this, now] {
         return stateFrame(now);
     }));
@@ -292,6 +297,7 @@
     if (m_provenAt == TimePoint{})
         return;
     // The position is read after the proof, so that it includes everything that the proof covers.
+    deliverWeights(link, now);
     const feed::Proof proof{number, m_machine.published().position, ageOf(m_provenAt, now)};
     deliver({{feed::toFrame(proof), {link}}});
 }
@@ -303,19 +309,38 @@
             m_liveness.recordHeartbeat(it.name, it.incarnation, now - it.age);
         const LogStatus status = m_log.status();
         const bool isLeader = status.raftState.role == consensus::Role::Leader;
-        if (isLeader && status.proof.provenAt != TimePoint{})
+        if (isLeader && status.proof.provenAt != TimePoint{}) {
+            sendWeights(event.member, now);
             m_send(event.member,
                    MemberProof{request->number, status.proof.index,
                                ageOf(status.proof.provenAt, now)});
+        }
     } else if (const auto *proof = std::get_if<MemberProof>(&event.message)) {
         m_proofs.answer(proof->number, proof->index, proof->age);
     } else if (const auto *forward = std::get_if<ForwardChange>(&event.message)) {
         m_log.command(forward->change, [](const CommandResult &) {});
     } else if (const auto *forwarded = std::get_if<ForwardReport>(&event.message)) {
         takeForwarded(event.member, *forwarded);
+    } else if (const auto *ages = std::get_if<feed::WeightsAges>(&event.message)) {
+        m_weights.learn(*ages, now);
     }
 }
 
+/// Sends the ages of weights to another member: the leader to those that ask it for a proof, and
+/// these to the leader.
+void FeedDuty::sendWeights(const std::string &member, TimePoint now)
+{
+    if (const auto ages = m_weights.recent(now))
+        m_send(member, *ages);
+}
+
+/// Sends the ages of weights to an entry, before the state or the proof to which they belong.
+void FeedDuty::deliverWeights(wire::LinkId link, TimePoint now)
+{
+    if (const auto ages = m_weights.recent(now))
+        deliver({{feed::toFrame(*ages), {link}}});
+}
+
 void FeedDuty::takeForwarded(const std::string &member, const ForwardReport &forwarded)
 {
     orElse(
@@ -383,6 +408,7 @@
     }
     if (leader.empty() || status.raftState.role == consensus::Role::Leader)
         return;
+    sendWeights(leader, now);
     m_send(leader, MemberProofRequest{m_proofs.request(now), m_liveness.takeReport(now)});
 }
 
--- a/lib/control/feedduty.h
+++ b/lib/control/feedduty.h
@@ -14,6 +14,7 @@
 #include "kumquathaven/control/liveness.h"
 #include "kumquathaven/feed/prooftracker.h"
 #include "kumquathaven/feed/publisher.h"
+#include "kumquathaven/feed/weightsrecord.h"
 #include "kumquathaven/wire/hub.h"
 
 #include <atomic>
@@ -52,6 +53,8 @@
     bool publishesMembers = false;
     /// An instance without a heartbeat for this long is declared dead.
     Duration instanceLease = std::chrono::seconds(8);
+    /// Ages of weights versions are sent while one of the model was set within this time.
+    Duration recentWeights = std::chrono::seconds(60);
 };
 
 /// Serves the feed to entry instances, obtains freshness proofs from the leader, and on the leader
@@ -136,6 +139,8 @@
     void updateControlLinks(const LogStatus &status);
     void proposeOrForward(const catalogue::Change &change);
     void takeForwarded(const std::string &member, const ForwardReport &forwarded);
+    void sendWeights(const std::string &member, TimePoint now);
+    void deliverWeights(wire::LinkId link, TimePoint now);
     void takeOrForward(const feed::RolloutReport &report);
     void deliver(const std::vector<feed::Delivery> &deliveries);
 
@@ -156,6 +161,7 @@
     StateBudget m_stateBudget;
     Liveness m_liveness;
     DepartureAges m_departures;
+    feed::WeightsRecord m_weights;
     std::optional<PlatformList> m_list;
     std::set<wire::LinkId> m_links;
     std::optional<wire::Frame> m_stateFrame;
--- a/lib/control/membermessages.cpp
+++ b/lib/control/membermessages.cpp
@@ -18,9 +18,19 @@
 constexpr Duration maxAge = std::chrono::minutes(10);
 
 /// The alternatives of MemberMessage, in the same order.
-enum class Kind { Ask, Proof, Forward, MembershipQuery, MembershipReply, Log, Relay, Report };
+enum class Kind {
+    Ask,
+    Proof,
+    Forward,
+    MembershipQuery,
+    MembershipReply,
+    Log,
+    Relay,
+    Report,
+    WeightsAges
+};
 
-constexpr std::array<EnumName<Kind>, 8> kindNames{{
+constexpr std::array<EnumName<Kind>, 9> kindNames{{
     {Kind::Ask, "ask"},
     {Kind::Proof, "proof"},
     {Kind::Forward, "forward"},
@@ -29,6 +39,7 @@
     {Kind::Log, "log"},
     {Kind::Relay, "relay"},
     {Kind::Report, "rollout"},
+    {Kind::WeightsAges, "weightsAges"},
 }};
 
 struct BodyWriter
@@ -56,6 +67,7 @@
     // The bytes of a log message are already CBOR.
     std::string operator()(const LogMessage &it) const { return it.bytes; }
     std::string operator()(const ForwardReport &it) const { return it.body; }
+    std::string operator()(const feed::WeightsAges &it) const { return feed::toFrame(it).body; }
     std::string operator()(const RelayedCommand &it) const
     {
         return wire::toCbor(json::array(
@@ -141,6 +153,11 @@
         return MemberMessage(ForwardChange{frame.body});
     if (kind == Kind::Report)
         return MemberMessage(ForwardReport{frame.body});
+    if (kind == Kind::WeightsAges) {
+        // The message has the name and the body that it has on the feed.
+        BOOST_LEAF_AUTO(ages, feed::fromFrame(frame, peer));
+        return MemberMessage(std::get<feed::WeightsAges>(std::move(ages)));
+    }
     BOOST_LEAF_AUTO(body, wire::fromCbor(frame.body, "control.member", peer));
     std::optional<MemberMessage> message;
     if (kind == Kind::Ask)
--- a/lib/control/membermessages.h
+++ b/lib/control/membermessages.h
@@ -6,6 +6,7 @@
 #include "kumquathaven/base/result.h"
 #include "kumquathaven/base/time.h"
 #include "kumquathaven/control/liveness.h"
+#include "kumquathaven/feed/messages.h"
 #include "kumquathaven/wire/frame.h"
 
 #include <string>
@@ -76,8 +77,9 @@
     std::string body;
 };
 
-using MemberMessage = std::variant<MemberProofRequest, MemberProof, ForwardChange, MembershipQuery,
-                                   MembershipReply, LogMessage, RelayedCommand, ForwardReport>;
+using MemberMessage =
+    std::variant<MemberProofRequest, MemberProof, ForwardChange, MembershipQuery, MembershipReply,
+                 LogMessage, RelayedCommand, ForwardReport, feed::WeightsAges>;
 
 /// Returns the frame that carries a message, on the consensus channel.
 wire::Frame toFrame(const MemberMessage &message);
--- a/lib/feed/feedtimes.cpp
+++ b/lib/feed/feedtimes.cpp
@@ -28,6 +28,7 @@
     if (!settings.platform)
         return times;
     bound(times.memberTimeout, settings, memberTimeoutShare);
+    times.recentWeights = std::max(times.recentWeights, 2 * settings.platform->weightsTime);
     times.proofInterval = std::min(times.proofInterval, times.memberTimeout / 3);
     return times;
 }
--- a/lib/feed/follower.cpp
+++ b/lib/feed/follower.cpp
@@ -121,7 +121,12 @@
             return toFrame(m_subscriber.state(now));
         },
         now);
-    effects.deliveries = std::move(reply.deliveries);
+    // The ages come first, so that a state or a proof finds them.
+    std::vector<catalogue::WeightsAge> ages = m_subscriber.recentWeights(now);
+    if (!reply.deliveries.empty() && !ages.empty())
+        effects.deliveries.push_back({toFrame(WeightsAges{std::move(ages)}), {child}});
+    for (Delivery &it : reply.deliveries)
+        effects.deliveries.push_back(std::move(it));
     if (reply.refuse)
         effects.refused.push_back(child);
     return effects;
--- a/lib/feed/messages.cpp
+++ b/lib/feed/messages.cpp
@@ -24,10 +24,11 @@
     Unsubscribe,
     Redirect,
     RolloutReport,
-    DeclarationPatchAt
+    DeclarationPatchAt,
+    WeightsAges
 };
 
-constexpr std::array<EnumName<Kind>, 11> kindNames{{
+constexpr std::array<EnumName<Kind>, 12> kindNames{{
     {Kind::Subscribe, "subscribe"},
     {Kind::ProofRequest, "ask"},
     {Kind::Announce, "announce"},
@@ -39,6 +40,7 @@
     {Kind::Redirect, "redirect"},
     {Kind::RolloutReport, "rollout"},
     {Kind::DeclarationPatchAt, "patch"},
+    {Kind::WeightsAges, "weightsAges"},
 }};
 
 // The bits of the options of a subscription.
@@ -49,6 +51,10 @@
 constexpr std::size_t maxNameBytes = 128;
 /// Maximum number of heartbeats in one request.
 constexpr std::size_t maxHeartbeats = 4096;
+/// Maximum number of weights versions in one message, and of the bytes of their models' names.
+constexpr std::size_t maxWeightsAges = 4096;
+constexpr std::size_t maxWeightsBytes = std::size_t{64} * 1024;
+constexpr std::size_t maxModelBytes = 4096;
 /// Maximum number of relays in one redirect.
 constexpr std::size_t maxRelays = 16;
 /// Names of services and routes on a platform are longer than names of instances.
@@ -112,6 +118,21 @@
     {
         return json::array({it.number, it.position, it.age.count()});
     }
+    json operator()(const WeightsAges &it) const
+    {
+        json ages = json::array();
+        std::size_t bytes = 0;
+        for (const catalogue::WeightsAge &each : it.ages) {
+            bytes += each.model.size();
+            if (ages.size() == maxWeightsAges || bytes > maxWeightsBytes)
+                break;
+            json age = json::array({each.model, each.version});
+            if (each.age)
+                age.push_back(each.age->count());
+            ages.push_back(std::move(age));
+        }
+        return json::array({std::move(ages)});
+    }
     json operator()(const Unsubscribe &) const { return json::array(); }
     json operator()(const Redirect &it) const
     {
@@ -198,6 +219,27 @@
         return heartbeats;
     }
 
+    std::vector<catalogue::WeightsAge> weightsAges()
+    {
+        std::vector<catalogue::WeightsAge> ages;
+        const json *it = next();
+        m_isValid = m_isValid && it && it->is_array() && it->size() <= maxWeightsAges;
+        if (!m_isValid)
+            return ages;
+        for (const json &each : *it) {
+            Elements elements(each);
+            catalogue::WeightsAge age;
+            age.model = elements.name(maxModelBytes);
+            age.version = elements.number();
+            // The age is left out if it is not known.
+            if (each.is_array() && each.size() > 2)
+                age.age = elements.age();
+            m_isValid = m_isValid && elements.isComplete();
+            ages.push_back(std::move(age));
+        }
+        return ages;
+    }
+
     std::vector<RelayAddress> relays()
     {
         std::vector<RelayAddress> relays;
@@ -390,6 +432,11 @@
         it.age = elements.age();
         return Message(it);
     }
+    case Kind::WeightsAges: {
+        WeightsAges it{elements.weightsAges()};
+        elements.skipRest();
+        return Message(std::move(it));
+    }
     case Kind::Unsubscribe:
         return Message(Unsubscribe{});
     case Kind::Redirect:
--- a/lib/feed/subscriber.cpp
+++ b/lib/feed/subscriber.cpp
@@ -65,6 +65,8 @@
             receiveChange(changeOf(*patch), effects, now);
     } else if (const auto *proof = std::get_if<Proof>(&message)) {
         handleMessage(*proof, now);
+    } else if (const auto *ages = std::get_if<WeightsAges>(&message)) {
+        handleMessage(*ages, now);
     }
     if (m_changed)
         publish(effects);
@@ -158,6 +160,9 @@
     else
         m_snapshot.epochSince = std::min(m_snapshot.epochSince, since);
     m_snapshot.catalogue = std::make_shared<const catalogue::Catalogue>(message.catalogue);
+    catalogue::WeightsTimes times = *m_snapshot.weightsTimes;
+    catalogue::recordPresent(times, message.catalogue.weights);
+    m_snapshot.weightsTimes = std::make_shared<const catalogue::WeightsTimes>(std::move(times));
     m_snapshot.instances = std::make_shared<const catalogue::Instances>(message.instances);
     m_drained = message.drained;
     recordListing();
@@ -187,6 +192,11 @@
         m_drained = std::move(state.drained);
         recordListing();
     }
+    if (const auto *weights = std::get_if<catalogue::SetWeightsVersion>(&message.change.body)) {
+        const auto &present = m_snapshot.catalogue->weights;
+        const auto replaced = present.find(weights->model);
+        recordWeights(*weights, replaced == present.end() ? 0 : replaced->second, now);
+    }
     if (message.revision != m_snapshot.catalogue->revision)
         m_snapshot.catalogue =
             std::make_shared<const catalogue::Catalogue>(std::move(state.catalogue));
@@ -209,6 +219,26 @@
     }
 }
 
+void Subscriber::handleMessage(const WeightsAges &message, TimePoint now)
+{
+    catalogue::WeightsTimes times = *m_snapshot.weightsTimes;
+    if (!catalogue::recordAges(times, message.ages, now))
+        return;
+    m_snapshot.weightsTimes = std::make_shared<const catalogue::WeightsTimes>(std::move(times));
+    m_changed = m_position > 0;
+}
+
+/// Counts a version from its arrival, until its age is known.
+void Subscriber::recordWeights(const catalogue::SetWeightsVersion &body, std::uint64_t replaced,
+                               TimePoint now)
+{
+    if (body.version <= replaced)
+        return;
+    catalogue::WeightsTimes times = *m_snapshot.weightsTimes;
+    catalogue::recordWeights(times, body.model, body.version, replaced, now);
+    m_snapshot.weightsTimes = std::make_shared<const catalogue::WeightsTimes>(std::move(times));
+}
+
 std::uint64_t Subscriber::listedIncarnation() const
 {
     const auto it = m_snapshot.instances->entries.find(m_self.name);
--- a/lib/gateway/enginechoice.cpp
+++ b/lib/gateway/enginechoice.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /// Shares of the time within which new weights must be in place, counted from the moment when a
-/// newer version is named. Up to the first share, old weights are as good as new ones. From the
+/// newer version is set. Up to the first share, old weights are as good as new ones. From the
 /// second share on, no request is sent to old weights, since it may still wait there until the time
 /// is over. In between, a server with new weights is preferred if its first event comes at most
 /// this much later.
@@ -22,17 +22,6 @@
 /// wait is chosen.
 constexpr std::size_t maxPlacements = 3;
 
-/// Returns the time since a newer version of a model was named; zero if there is none.
-Duration timeSinceReplaced(const Servers &servers, const std::string &model, std::uint64_t version,
-                           TimePoint now)
-{
-    const auto named = servers.versionLearnedAt.find(model);
-    if (named == servers.versionLearnedAt.end())
-        return Duration(0);
-    const auto next = named->second.upper_bound(version);
-    return next == named->second.end() ? Duration(0) : now - next->second;
-}
-
 Duration shareOfWeightsTime(const Servers &servers, double share)
 {
     return std::chrono::duration_cast<Duration>(servers.weightsTime * share);
@@ -47,7 +36,7 @@
     out.candidates.clear();
     for (const routing::Slot it : request.candidates) {
         const std::uint64_t version = versionNumber(servers.fleet.upstreams[it].weightsVersion);
-        if (timeSinceReplaced(servers, model, version, now) < maxAge)
+        if (catalogue::timeSinceReplaced(*servers.weightsTimes, model, version, now) < maxAge)
             out.candidates.push_back(it);
     }
     return out;
@@ -131,7 +120,7 @@
 bool isUsableVersion(const Servers &servers, const std::string &model, std::uint64_t version,
                      TimePoint now)
 {
-    return timeSinceReplaced(servers, model, version, now)
+    return catalogue::timeSinceReplaced(*servers.weightsTimes, model, version, now)
         < shareOfWeightsTime(servers, usableWeightsShare);
 }
 
--- a/lib/gateway/gatewayrole.cpp
+++ b/lib/gateway/gatewayrole.cpp
@@ -8,6 +8,7 @@
 #include "peermessages.h"
 #include "releasewatch.h"
 #include "storewatch.h"
+#include "weightslog.h"
 
 #include "kumquathaven/base/walltime.h"
 #include "kumquathaven/feed/client.h"
@@ -296,6 +297,7 @@
     const catalogue::Snapshot snapshot = view.current();
     const bool hasChanged = snapshot.catalogue != lastSnapshot.catalogue
         || snapshot.instances != lastSnapshot.instances
+        || snapshot.weightsTimes != lastSnapshot.weightsTimes
         || snapshot.provenAt != lastSnapshot.provenAt;
     const bool waitsForFirst = !gateway.plan && snapshot.catalogue->declaration.text;
     if (!hasChanged && !waitsForFirst)
@@ -318,8 +320,12 @@
         gateway.quarantine.setInstances(settings.instance, std::move(names));
     }
     lastSnapshot = snapshot;
+    if (snapshot.weightsTimes != gateway.servers.weightsTimes) {
+        logWeights(*gateway.servers.weightsTimes, *snapshot.weightsTimes, now);
+        gateway.servers.weightsTimes = snapshot.weightsTimes;
+    }
     if (isNewCatalogue) {
-        applyCatalogue(gateway.servers, snapshot.catalogue, now);
+        applyCatalogue(gateway.servers, snapshot.catalogue);
         releases.rolloutsChanged(applyReleases(gateway.servers, wallMilliseconds(), now));
     }
     if (isNewPlan) {
--- a/lib/gateway/servers.cpp
+++ b/lib/gateway/servers.cpp
@@ -17,8 +17,6 @@
 /// Prompt tokens a second that an engine is assumed to read until its speed is learned: in the
 /// middle of what current engines do.
 constexpr double initialPrefillSpeed = 50'000;
-/// Number of versions that are kept for each model; older ones are out of use.
-constexpr std::size_t maxVersions = 64;
 /// Maximum number of unreported store updates. Entries that are not reported expire at the other
 /// instances.
 constexpr std::size_t maxUnreportedStoreUpdates = 1'000;
@@ -268,17 +266,8 @@
     forgetDeparted(servers, now);
 }
 
-void applyCatalogue(Servers &servers, std::shared_ptr<const catalogue::Catalogue> catalogue,
-                    TimePoint now)
+void applyCatalogue(Servers &servers, std::shared_ptr<const catalogue::Catalogue> catalogue)
 {
-    for (const auto &[model, version] : catalogue->weights) {
-        std::map<std::uint64_t, TimePoint> &named = servers.versionLearnedAt[model];
-        // The time of versions that were named before this instance started is unknown, so that
-        // they count as named now.
-        named.emplace(version, now);
-        if (named.size() > maxVersions)
-            named.erase(named.begin());
-    }
     servers.catalogue = std::move(catalogue);
     refreshAll(servers);
 }
--- a/lib/gateway/servers.h
+++ b/lib/gateway/servers.h
@@ -10,6 +10,7 @@
 
 #include "kumquathaven/base/enumnames.h"
 #include "kumquathaven/catalogue/catalogue.h"
+#include "kumquathaven/catalogue/weightstimes.h"
 #include "kumquathaven/deployment/plan.h"
 #include "kumquathaven/deployment/request.h"
 #include "kumquathaven/deployment/server.h"
@@ -149,9 +150,10 @@
     /// When the list of servers was read from the platform.
     TimePoint listReadAt{};
     std::shared_ptr<const catalogue::Catalogue> catalogue;
-    /// When this instance learned of each weights version, by model and version.
-    std::map<std::string, std::map<std::uint64_t, TimePoint>> versionLearnedAt;
-    /// Time after the naming of a newer version from which on nothing may start on an older one.
+    /// When the versions of models' weights were set.
+    std::shared_ptr<const catalogue::WeightsTimes> weightsTimes =
+        std::make_shared<const catalogue::WeightsTimes>();
+    /// Time after a newer version was set from which on nothing may start on an older one.
     Duration weightsTime = std::chrono::seconds(6);
     /// Weights versions that servers returned in their answers, by start and model. They are newer
     /// than the list and the catalogue.
@@ -231,8 +233,7 @@
 void applyList(Servers &servers, const std::vector<deployment::ListedServer> &list, TimePoint now);
 
 /// Applies the weights versions and the states of servers that the catalogue has.
-void applyCatalogue(Servers &servers, std::shared_ptr<const catalogue::Catalogue> catalogue,
-                    TimePoint now);
+void applyCatalogue(Servers &servers, std::shared_ptr<const catalogue::Catalogue> catalogue);
 
 /// Applies the rollouts that the catalogue has; \p wallMs is the present time in milliseconds since
 /// 1970. Returns the services whose rollout changed.
--- a/unittests/control/membermessagestest.cpp
+++ b/unittests/control/membermessagestest.cpp
@@ -26,6 +26,7 @@
         LogMessage{"bytes"},
         RelayedCommand{true, 1, 2, 3, "bytes"},
         ForwardReport{"bytes"},
+        feed::WeightsAges{{{"m", 1, std::nullopt}, {"m", 2, Duration(3)}}},
     };
     Random random(5);
     for (const MemberMessage &message : messages) {
--- a/unittests/feed/messagestest.cpp
+++ b/unittests/feed/messagestest.cpp
@@ -127,6 +127,7 @@
         Subscribe{5},
         Subscribe{5, true},
         Subscribe{5, false, true},
+        WeightsAges{{{"m", 1, std::nullopt}, {"m", 2, Duration(3)}}},
         DeclarationPatchAt{8, 9, 10, 11, 12, {{{0, 5, "a\xC3"}, {7, 2, ""}}}},
         ProofRequest{6, "e", 7},
         ProofRequest{6, "e", 7, {{"f", 8, Duration(9)}, {"g", 10, Duration(11)}}},
--- a/unittests/gateway/exchangetest.cpp
+++ b/unittests/gateway/exchangetest.cpp
@@ -108,8 +108,10 @@
         it->serverWeights["lm0@0/m"] = {"lm0@0", "m", 2, false};
         return it;
     };
-    applyCatalogue(t.gateway.servers, named(1), monotonicNow() - seconds(1));
-    applyCatalogue(t.gateway.servers, named(2), monotonicNow() - milliseconds(500));
+    catalogue::WeightsTimes times;
+    catalogue::recordWeights(times, "m", 2, 1, monotonicNow() - milliseconds(500));
+    t.gateway.servers.weightsTimes = std::make_shared<const catalogue::WeightsTimes>(times);
+    applyCatalogue(t.gateway.servers, named(2));
     for (const auto &it : t.engines)
         it->answer = [](Peer &peer, const std::string &request) {
             peer.send(wholeAnswer(500, "Id: " + fieldOf(request, "Id") + "\r\n", "server error"));
--- a/unittests/gateway/releasestest.cpp
+++ b/unittests/gateway/releasestest.cpp
@@ -143,7 +143,7 @@
         Servers servers;
         catalogue::Catalogue catalogue;
         catalogue.rollouts[service] = order(share, 1, state);
-        applyCatalogue(servers, std::make_shared<const catalogue::Catalogue>(catalogue), at(0));
+        applyCatalogue(servers, std::make_shared<const catalogue::Catalogue>(catalogue));
         CHECK(applyReleases(servers, 1'000'000, at(0)).size() == 1);
         CHECK(applyReleases(servers, 1'000'000, at(1)).empty());
         applyList(servers, listOf(3, 3), at(1));
@@ -196,7 +196,7 @@
     Servers servers;
     catalogue::Catalogue catalogue;
     catalogue.rollouts[service] = order(1000);
-    applyCatalogue(servers, std::make_shared<const catalogue::Catalogue>(catalogue), at(0));
+    applyCatalogue(servers, std::make_shared<const catalogue::Catalogue>(catalogue));
     applyReleases(servers, 1'000'000, at(0));
     applyList(servers, listOf(2, 2), at(1));
     const auto first = pick(servers, app.request(), at(2));
--- a/unittests/gateway/serverstest.cpp
+++ b/unittests/gateway/serverstest.cpp
@@ -18,6 +18,15 @@
     return it;
 }
 
+/// Sets a version that replaces the one before it.
+void setVersion(Servers &servers, std::uint64_t version, TimePoint now)
+{
+    catalogue::WeightsTimes times = *servers.weightsTimes;
+    catalogue::recordWeights(times, model, version, version - 1, now);
+    servers.weightsTimes = std::make_shared<const catalogue::WeightsTimes>(std::move(times));
+    applyCatalogue(servers, named(version));
+}
+
 } // namespace
 
 TEST_CASE("instances without communication place a shared prompt on the same server")
@@ -126,9 +135,9 @@
     EngineFixture fixture;
     Servers servers;
     servers.weightsTime = std::chrono::seconds(6);
-    applyCatalogue(servers, named(1), at(0));
+    setVersion(servers, 1, at(0));
     fixture.list(servers, 2, 1, at(0));
-    applyCatalogue(servers, named(2), at(1000));
+    setVersion(servers, 2, at(1000));
     CHECK(gateway::pick(servers, fixture.request(at(1500)), at(1500)));
     CHECK(gateway::pick(servers, fixture.request(at(4000)), at(4000)));
     // A retry ends the present attempt if another server can be chosen.
@@ -137,14 +146,14 @@
     CHECK_FALSE(gateway::pick(servers, fixture.request(at(5000)), at(5000)));
     SUBCASE("a later version does not extend that time")
     {
-        applyCatalogue(servers, named(3), at(4900));
+        setVersion(servers, 3, at(4900));
         CHECK_FALSE(gateway::pick(servers, fixture.request(at(5000)), at(5000)));
     }
     SUBCASE("a server that loaded the new ones is used")
     {
         const auto catalogue = named(2);
         catalogue->serverWeights["e1@0/m"] = {"e1@0", model, 2, false};
-        applyCatalogue(servers, catalogue, at(5000));
+        applyCatalogue(servers, catalogue);
         const auto it = gateway::pick(servers, fixture.request(at(5100)), at(5100));
         REQUIRE(it);
         CHECK(it->serverId == "e1");
@@ -152,6 +161,24 @@
     }
 }
 
+// Guards against an instance that starts and counts replaced weights as replaced just now.
+TEST_CASE("an instance that starts counts replaced weights from their replacement")
+{
+    EngineFixture fixture;
+    Servers servers;
+    servers.weightsTime = std::chrono::seconds(6);
+    fixture.list(servers, 2, 1, at(0));
+    catalogue::WeightsTimes times;
+    catalogue::recordPresent(times, named(2)->weights);
+    servers.weightsTimes = std::make_shared<const catalogue::WeightsTimes>(times);
+    applyCatalogue(servers, named(2));
+    CHECK_FALSE(gateway::pick(servers, fixture.request(at(1)), at(1)));
+    catalogue::recordAges(times, {{model, 2, std::chrono::seconds(2)}}, at(1));
+    servers.weightsTimes = std::make_shared<const catalogue::WeightsTimes>(times);
+    CHECK(gateway::pick(servers, fixture.request(at(1000)), at(1000)));
+    CHECK_FALSE(gateway::pick(servers, fixture.request(at(2000)), at(2000)));
+}
+
 TEST_CASE("a server that is loading, leaving, moved or departed gets no requests")
 {
     EngineFixture fixture;
@@ -161,7 +188,7 @@
     {
         const auto catalogue = named(2);
         catalogue->serverWeights["e0@0/m"] = {"e0@0", model, 1, true};
-        applyCatalogue(servers, catalogue, at(1));
+        applyCatalogue(servers, catalogue);
     }
     SUBCASE("leaving")
     {
