Weights: a request that waits too long at a server with replaced weights is withdrawn

The time left for waiting is a share that bounds nothing while half of the engines are down; expected waits were 0.1 s where up to 2.4 s passed.

Change: an attempt without an answer at 0.9 of the time for weights since their replacement is withdrawn: it moves to another server if it may, else it ends with an unknown outcome. A version that is set while the request waits counts as well.

--- a/lib/gateway/enginechoice.cpp
+++ b/lib/gateway/enginechoice.cpp
@@ -17,6 +17,9 @@
 /// this much later.
 constexpr double equalWeightsShare = 0.2;
 constexpr double usableWeightsShare = 0.6;
+/// Share at which a request is withdrawn that still waits at a server with old weights. The rest is
+/// time for the server to notice that.
+constexpr double withdrawShare = 0.9;
 constexpr Duration maxWaitForNewWeights = std::chrono::milliseconds(300);
 /// Number of servers on which a large shared part is placed before the server with the shortest
 /// wait is chosen.
@@ -124,6 +127,15 @@
         < shareOfWeightsTime(servers, usableWeightsShare);
 }
 
+Duration timeToWithdraw(const Servers &servers, const std::string &model, std::uint64_t version,
+                        TimePoint now)
+{
+    const Duration most = shareOfWeightsTime(servers, withdrawShare);
+    const Duration replaced =
+        catalogue::timeSinceReplaced(*servers.weightsTimes, model, version, now);
+    return replaced >= most ? Duration(0) : most - replaced;
+}
+
 std::optional<routing::Choice> chooseEngine(const Servers &servers, const routing::Request &request,
                                             const std::string &model, const Placement &placement,
                                             TimePoint now)
--- a/lib/gateway/enginechoice.h
+++ b/lib/gateway/enginechoice.h
@@ -42,6 +42,11 @@
 bool isUsableVersion(const Servers &servers, const std::string &model, std::uint64_t version,
                      TimePoint now);
 
+/// Returns the time after which a request that waits at a server with \p version must be withdrawn,
+/// since it may begin to run too late; zero if that is over.
+Duration timeToWithdraw(const Servers &servers, const std::string &model, std::uint64_t version,
+                        TimePoint now);
+
 /// Chooses among the candidates of a request for \p model, which all have usable versions. Servers
 /// with old weights are chosen less readily once some time has passed since the new version was
 /// named. Returns nothing if no candidate accepts work.
--- a/lib/gateway/exchange.cpp
+++ b/lib/gateway/exchange.cpp
@@ -38,6 +38,7 @@
     , m_arrivedAt(arrivedAt)
     , m_deadlineTimer(gateway.loop)
     , m_moveTimer(gateway.loop)
+    , m_weightsTimer(gateway.loop)
 {
     ++m_gateway.running;
 }
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -70,7 +70,9 @@
     bool mayRetry() const;
     bool retry(AttemptEnd end, Outcome outcome);
     void armMoveTimer();
-    void moveToOtherServer();
+    bool moveToOtherServer();
+    void armWeightsTimer();
+    void withdrawFromOldWeights();
     void endAttempt(AttemptEnd end);
     void startWaiting();
     void stopWaiting();
@@ -148,6 +150,7 @@
     Outcome m_outcome = Outcome::NotRun;
     boost::asio::steady_timer m_deadlineTimer;
     boost::asio::steady_timer m_moveTimer;
+    boost::asio::steady_timer m_weightsTimer;
 
     /// Head of the answer that is forwarded: the head of the first server that sent one.
     std::optional<http::Head> m_answerHead;
--- a/lib/gateway/exchangesend.cpp
+++ b/lib/gateway/exchangesend.cpp
@@ -1,5 +1,6 @@
 // Sends the attempts of a request: chooses the server and decides when to retry on another one.
 
+#include "enginechoice.h"
 #include "exchange.h"
 
 #include "kumquathaven/base/hash.h"
@@ -87,6 +88,7 @@
                                             m_gateway.dialect.requests.readAnswer);
     m_call->start(callRequest(*m_pick), callEvents(), now);
     armMoveTimer();
+    armWeightsTimer();
 }
 
 PickRequest Exchange::pickRequest() const
@@ -215,15 +217,58 @@
     });
 }
 
-void Exchange::moveToOtherServer()
+/// Moves the attempt if that is allowed. Otherwise changes nothing and returns false.
+bool Exchange::moveToOtherServer()
 {
     const TimePoint now = monotonicNow();
     if (!mayRetry() || !canPick(m_gateway.servers, pickRequest(), now)
         || !spend(m_gateway.retryBudgets[m_pick->service], m_gateway.retryRules, now))
-        return;
+        return false;
     m_gateway.counters.retried.add();
     endAttempt(AttemptEnd::Abandoned);
     send();
+    return true;
+}
+
+/// Starts the timer that withdraws an attempt from a server whose weights have been replaced, or
+/// are replaced while the request waits there.
+void Exchange::armWeightsTimer()
+{
+    if (!m_pick || m_pick->weights.value_or(0) == 0 || m_hasFirstToken)
+        return;
+    m_weightsTimer.expires_after(
+        timeToWithdraw(m_gateway.servers, m_callerHead.model, *m_pick->weights, monotonicNow()));
+    m_weightsTimer.async_wait([weak = weak_from_this()](const boost::system::error_code &ec) {
+        const auto self = weak.lock();
+        if (!ec && self && !self->m_isFinished && self->m_call && !self->m_hasFirstToken)
+            self->withdrawFromOldWeights();
+    });
+}
+
+/// Withdraws a request that has waited so long at its server that it would begin on weights that
+/// were replaced too long ago.
+void Exchange::withdrawFromOldWeights()
+{
+    const Duration left =
+        timeToWithdraw(m_gateway.servers, m_callerHead.model, *m_pick->weights, monotonicNow());
+    if (left > Duration(0)) {
+        armWeightsTimer();
+        return;
+    }
+    if (moveToOtherServer())
+        return;
+    if (m_isHeadSent) {
+        cut("cut on replaced weights");
+        return;
+    }
+    const std::string server = m_pick->serverId;
+    endAttempt(AttemptEnd::Abandoned);
+    endWithError({ErrorCode::DeadlineExceeded,
+                  "gateway.weights",
+                  server,
+                  "waited at a server until its weights were replaced for too long",
+                  m_outcome,
+                  {}});
 }
 
 void Exchange::startWaiting()
@@ -276,6 +321,7 @@
 void Exchange::endAttempt(AttemptEnd end)
 {
     m_moveTimer.cancel();
+    m_weightsTimer.cancel();
     stopWaiting();
     if (m_call) {
         // It is unknown whether a server that gave no answer ran the request.
--- a/unittests/gateway/exchangetest.cpp
+++ b/unittests/gateway/exchangetest.cpp
@@ -97,6 +97,56 @@
     CHECK(t.gateway.running == 0);
 }
 
+// Guards against a request that begins on replaced weights after a long wait at its server.
+TEST_CASE("a request that waits at a server with replaced weights is withdrawn in time")
+{
+    struct Row
+    {
+        std::string name;
+        Duration replacedBefore;
+        bool answersHead;
+    };
+    for (const Row &row : {Row{"replaced before it was sent", milliseconds(200), false},
+                           Row{"replaced while it waits", milliseconds(-200), false},
+                           Row{"it has begun", milliseconds(200), true}}) {
+        CAPTURE(row.name);
+        ExchangeFixture t(1);
+        t.gateway.servers.weightsTime = milliseconds(600);
+        const TimePoint start = monotonicNow();
+        const auto replace = [&t](TimePoint at) {
+            catalogue::WeightsTimes times;
+            catalogue::recordWeights(times, "m", 3, 2, at);
+            t.gateway.servers.weightsTimes = std::make_shared<const catalogue::WeightsTimes>(times);
+        };
+        auto listed = std::make_shared<catalogue::Catalogue>();
+        listed->serverWeights["lm0@0/m"] = {"lm0@0", "m", 2, false};
+        applyCatalogue(t.gateway.servers, listed);
+        const TimePoint replacedAt = start - row.replacedBefore;
+        if (replacedAt <= start)
+            replace(replacedAt);
+        t.engines[0]->answer = [&row](Peer &peer, const std::string &request) {
+            if (row.answersHead)
+                peer.send(streamHead(fieldOf(request, "Id")) + streamEvent(1));
+        };
+        Peer &caller = t.connect();
+        caller.send(ExchangeFixture::request("ask", "r1"));
+        t.runFor(milliseconds(100));
+        if (replacedAt > start) {
+            t.runFor(replacedAt - monotonicNow());
+            replace(replacedAt);
+        }
+        REQUIRE(t.engines[0]->requests.size() == 1);
+        t.runUntil(
+            [&] {
+                return t.gateway.running == 0;
+            },
+            replacedAt + milliseconds(600) - monotonicNow());
+        CHECK((t.gateway.running == 0) == !row.answersHead);
+        if (!row.answersHead)
+            CHECK(caller.received.substr(0, 12) == "HTTP/1.1 502");
+    }
+}
+
 // Guards against a retry that gives up the present answer for a server that cannot be chosen.
 TEST_CASE("an error of the only server that can be chosen reaches the caller")
 {
