Gateway tests: servers keep their ports, stops run due timers first

Two causes were found by running 32 copies of the tests over connections at once:

- A server of the fixture that ends frees its port.

A server now holds its port by a socket that does not listen, callers share one listener instead of a new port each, and the stop test runs what is due before it judges. The checks are as they were.

--- a/unittests/gateway/exchangefixture.cpp
+++ b/unittests/gateway/exchangefixture.cpp
@@ -14,6 +14,20 @@
 
 using boost::asio::ip::tcp;
 
+namespace {
+
+/// Returns a bound socket that does not listen. It keeps its port from other programs, and a
+/// connection to it is refused unless another socket listens there.
+tcp::socket reservePort(boost::asio::io_context &loop)
+{
+    tcp::socket it(loop, tcp::v4());
+    it.set_option(boost::asio::socket_base::reuse_address(true));
+    it.bind({boost::asio::ip::address_v4::loopback(), 0});
+    return it;
+}
+
+} // namespace
+
 Peer::Peer(tcp::socket socket)
     : m_socket(std::move(socket))
 { }
@@ -79,8 +93,9 @@
 TestServer::TestServer(boost::asio::io_context &loop, std::string name)
     : id(std::move(name))
     , m_loop(loop)
-    , m_acceptor(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
-    , m_address(m_acceptor.local_endpoint())
+    , m_reserved(reservePort(loop))
+    , m_address(m_reserved.local_endpoint())
+    , m_acceptor(loop, m_address)
 {
     m_acceptor.non_blocking(true);
 }
@@ -223,11 +238,10 @@
 
 Peer &ExchangeFixture::connect()
 {
-    tcp::acceptor acceptor(gateway.loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
     tcp::socket caller(gateway.loop);
-    caller.connect(acceptor.local_endpoint());
+    caller.connect(m_listener.local_endpoint());
     connections.push_back(std::make_shared<CallerConnection>(
-        gateway, std::make_shared<http::Connection>(acceptor.accept())));
+        gateway, std::make_shared<http::Connection>(m_listener.accept())));
     connections.back()->start(monotonicNow());
     m_callers.push_back(std::make_unique<Peer>(std::move(caller)));
     return *m_callers.back();
@@ -248,19 +262,24 @@
     while (!condition()) {
         if (monotonicNow() > end)
             return false;
-        gateway.loop.restart();
-        gateway.loop.poll();
-        for (const auto &it : apps)
-            it->poll();
-        for (const auto &it : engines)
-            it->poll();
-        for (const auto &it : m_callers)
-            it->readAvailable();
+        runOnce();
         std::this_thread::sleep_for(std::chrono::microseconds(200));
     }
     return true;
 }
 
+void ExchangeFixture::runOnce()
+{
+    gateway.loop.restart();
+    gateway.loop.poll();
+    for (const auto &it : apps)
+        it->poll();
+    for (const auto &it : engines)
+        it->poll();
+    for (const auto &it : m_callers)
+        it->readAvailable();
+}
+
 void ExchangeFixture::runFor(Duration time)
 {
     runUntil(
--- a/unittests/gateway/exchangefixture.h
+++ b/unittests/gateway/exchangefixture.h
@@ -69,8 +69,10 @@
 
 private:
     boost::asio::io_context &m_loop;
-    boost::asio::ip::tcp::acceptor m_acceptor;
+    /// Holds the port of a server that has ended, so that no other program answers there.
+    boost::asio::ip::tcp::socket m_reserved;
     boost::asio::ip::tcp::endpoint m_address;
+    boost::asio::ip::tcp::acceptor m_acceptor;
 };
 
 /// Settings of an instance on a platform.
@@ -99,6 +101,8 @@
                   Duration maxTime = std::chrono::seconds(3));
 
     void runFor(Duration time);
+    /// Runs what is due now.
+    void runOnce();
 
     settings::Settings settings = platformSettings();
     deployment::Dialect dialect = testDialect();
@@ -110,6 +114,8 @@
     std::vector<std::shared_ptr<CallerConnection>> connections;
 
 private:
+    boost::asio::ip::tcp::acceptor m_listener{gateway.loop,
+                                              {boost::asio::ip::address_v4::loopback(), 0}};
     std::vector<std::unique_ptr<Peer>> m_callers;
 };
 
--- a/unittests/gateway/stoptest.cpp
+++ b/unittests/gateway/stoptest.cpp
@@ -89,6 +89,8 @@
                 return monotonicNow() >= last;
             },
             std::chrono::seconds(2));
+        // Timers that are due by then have run before the process acts on that moment.
+        t.runOnce();
         CHECK(t.gateway.running == 0);
         for (const Sent &it : sent) {
             CAPTURE(it.id);
