Soak: a stopped entry is thawed before its end is awaited

The history: SIGTERM at 2.1 s, SIGSTOP by another fault at 3.4 s, and the wait for the end from 5.3 to 11.3 s. One thread ends the faults in turn, so the SIGCONT of the freeze came only after that wait; a process that is not let run can't end. The wait now begins with SIGCONT. Its six seconds and the check are as before, and the entry has to end though its grace is over.

--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -132,6 +132,8 @@
         it = self.site.processes[name]
 
         def end():
+            # A frozen process can't end, and what froze it would end only after this wait.
+            it.signal(signal.SIGCONT)
             if not self.ends_in_time(it):
                 self.history.add(self.history.exits, name=name, at=self.history.now(), how="did not end within its grace time")
                 it.kill()
