Soak: a stop is judged by the process that was asked to stop

The histories: another fault killed and restarted the entry, or an overlapping stop did, while the first stop was still to be judged; the wait then was for the successor, which nobody had asked to stop and which ran on. The process is now kept when it is asked, and it alone is waited for, for the same six seconds; the successor goes on.

Test: soak.checks plays a stop beside a kill with a restart, a freeze, a process that hangs, one that hangs frozen and one that fails.

--- a/test/soak/checkstest.py
+++ b/test/soak/checkstest.py
@@ -9,6 +9,7 @@
 import unittest.mock
 
 import checks
+import faults
 import proxy
 from checks import Bounds, check_all
 from report import summary
@@ -57,6 +58,52 @@
         self.assertIsNone(ended_by_itself(it))
 
 
+class Stops(unittest.TestCase):
+    """Which stops of an entry count as late: only those of the process that was asked, and that could run."""
+
+    def exits_after(self, command, meanwhile):
+        it = SoakProcess.__new__(SoakProcess)
+        it.spawn = lambda: subprocess.Popen(command, stdout=subprocess.PIPE)
+        it.start()
+        programs = [it.process]
+        # The command says when it has set what a signal does.
+        it.process.stdout.readline()
+        history = History()
+        stop = faults.Player(1, unittest.mock.Mock(processes={"entry-1": it}), history, None).stopped("entry-1", 1)
+        with unittest.mock.patch("faults.STOP_GRACE", 0.5):
+            stop.begin()
+            meanwhile(it)
+            programs.append(it.process)
+            stop.end()
+        self.assertTrue(it.alive())
+        for program in {*programs, it.process}:
+            program.kill()
+            program.wait()
+            program.stdout.close()
+        return [exit["how"] for exit in history.exits]
+
+    def test_only_the_process_that_was_asked_is_judged(self):
+        ends = ["sh", "-c", "trap 'exit 0' TERM; echo; while :; do sleep 0.01; done"]
+        hangs = ["sh", "-c", "trap '' TERM; echo; exec sleep 60"]
+        fails = ["sh", "-c", "trap 'exit 3' TERM; echo; while :; do sleep 0.01; done"]
+
+        def succeed(it):
+            it.kill()
+            it.start()
+
+        def freeze(it):
+            it.process.send_signal(signal.SIGSTOP)
+        for name, command, meanwhile, found in (
+                ("ends", ends, lambda it: None, []),
+                ("frozen", ends, freeze, []),
+                ("killed and started by another fault", hangs, succeed, []),
+                ("hangs", hangs, lambda it: None, ["did not end within its grace time"]),
+                ("hangs, frozen", hangs, freeze, ["did not end within its grace time"]),
+                ("fails", fails, lambda it: None, ["ended with 3"])):
+            with self.subTest(name):
+                self.assertEqual(self.exits_after(command, meanwhile), found)
+
+
 class Calm(unittest.TestCase):
     """How long a soak goes on after its last fault."""
 
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -130,22 +130,31 @@
     def stopped(self, name, lasts):
         """Stops an entry in order, as a roll does, and starts it again."""
         it = self.site.processes[name]
+        asked = []
+
+        def begin():
+            asked.append(it.process)
+            it.signal(signal.SIGTERM)
 
         def end():
+            program = asked[0]
             # A frozen process can't end, and what froze it would end only after this wait.
-            it.signal(signal.SIGCONT)
-            if not self.ends_in_time(it):
+            if program.poll() is None:
+                program.send_signal(signal.SIGCONT)
+            if not self.ends_in_time(program):
                 self.history.add(self.history.exits, name=name, at=self.history.now(), how="did not end within its grace time")
                 it.kill()
-            elif it.process.returncode not in (0, -signal.SIGKILL):
-                self.history.add(self.history.exits, name=name, at=self.history.now(), how=f"ended with {it.process.returncode}")
-            it.start()
-        return Fault("stopped", {name}, lambda: it.signal(signal.SIGTERM), end, lasts, planned=True)
+            elif program.returncode not in (0, -signal.SIGKILL):
+                self.history.add(self.history.exits, name=name, at=self.history.now(), how=f"ended with {program.returncode}")
+            # Another fault may have started a successor, which nobody asked to stop.
+            if it.process is program:
+                it.start()
+        return Fault("stopped", {name}, begin, end, lasts, planned=True)
 
     @staticmethod
-    def ends_in_time(it):
+    def ends_in_time(program):
         try:
-            it.process.wait(STOP_GRACE)
+            program.wait(STOP_GRACE)
         except subprocess.TimeoutExpired:
             return False
         return True
